Reload the entry's settings when their file changes

Cause: an entry read its file again at SIGHUP only; a file that changes without a signal was never seen. Bounds that were taken over did not reach the repeat budgets in use. Ruled out: file times (they may jump with the clock) and change notices of the kernel (not available on the platform); one small read a second is compared instead. Addresses hold until a restart and the log names them.

--- a/copperyard/entry.py
+++ b/copperyard/entry.py
@@ -11,7 +11,7 @@
 
 import anyio
 from anyio.abc import SocketStream, TaskGroup
-from returns.result import Failure, Result
+from returns.result import Failure
 
 from copperyard.bounded_logs import BoundedLogHandler
 from copperyard.caller_connections import (
@@ -23,7 +23,6 @@
 from copperyard.entry_api import EntryApi
 from copperyard.entry_board import EntryBoard
 from copperyard.entry_settings import EntrySettings
-from copperyard.exceptions import SettingsError
 from copperyard.knowledge import Knowledge
 from copperyard.load_probing import LoadProber
 from copperyard.logs import configure_logs, log_event
@@ -36,6 +35,7 @@
     load_entry_settings,
 )
 from copperyard.settings import split_address
+from copperyard.settings_watch import SettingsWatch
 from copperyard.store_watch import StoreWatch
 
 METRICS_PORT: Final = 9100
@@ -51,10 +51,16 @@
     """All parts of an entry process.
 
     :param settings: addresses and bounds.
+    :param path: the file that they came from.
     """
 
-    def __init__(self, settings: EntrySettings) -> None:
+    def __init__(self, settings: EntrySettings, path: Path) -> None:
         self.board = EntryBoard(settings, Metrics())
+        self._settings_watch = SettingsWatch(
+            self.board,
+            path,
+            load_entry_settings,
+        )
         self.board.entry_ips = frozenset((settings.ip,))
         self._random = Random()
         self._pool = BackendPool(self.board.clock)
@@ -112,6 +118,7 @@
         group.start_soon(watch.watch_servers)
         group.start_soon(watch.register)
         group.start_soon(self._close_idle)
+        group.start_soon(self._settings_watch.watch)
 
     async def _listen(self, group: TaskGroup, api: EntryApi) -> None:
         settings = self.board.settings
@@ -160,18 +167,10 @@
         ) as signals:
             async for number in signals:
                 if number == signal.SIGHUP:
-                    self._reload()
+                    self._settings_watch.reload('SIGHUP')
                     continue
                 return
 
-    def _reload(self) -> None:
-        loaded = _load()
-        if isinstance(loaded, Failure):
-            log_event('reload_refused', reason=str(loaded.failure()))
-            return
-        self.board.settings = loaded.unwrap()
-        log_event('reloaded')
-
     async def _drain(self) -> None:
         grace_s = self.board.settings.bounds.grace_s
         began = self.board.clock()
@@ -188,19 +187,16 @@
             await anyio.sleep(DRAIN_LOOK_S)
 
 
-def _load() -> Result[EntrySettings, SettingsError]:
-    return load_entry_settings(Path(os.environ.get(SETTINGS_VARIABLE, '')))
-
-
 def main() -> None:
     """Run the entry process with the platform's settings file."""
-    loaded = _load()
+    path = Path(os.environ.get(SETTINGS_VARIABLE, ''))
+    loaded = load_entry_settings(path)
     if isinstance(loaded, Failure):
         sys.exit(f'settings: {loaded.failure()}')
     settings = loaded.unwrap()
     handler = BoundedLogHandler(sys.stdout.fileno())
     configure_logs('info', 'entry', settings.entry_id, handler)
-    anyio.run(EntryProcess(settings).run)
+    anyio.run(EntryProcess(settings, path).run)
 
 
 if __name__ == '__main__':
--- a/copperyard/entry_board.py
+++ b/copperyard/entry_board.py
@@ -62,6 +62,17 @@
             self.routes is not None and self.has_servers and not self.is_leaving
         )
 
+    def replace_settings(self, settings: EntrySettings) -> None:
+        """Take other settings over.
+
+        :param settings: addresses are those in force.
+        """
+        self.settings = settings
+        bounds = settings.bounds
+        for budget in self._budgets_by_service.values():
+            budget.ratio = bounds.repeat_ratio
+            budget.slack = bounds.repeat_slack
+
     def find_terms(self, service: str) -> ServiceTerms | None:
         """Return what the operator declares of a service."""
         if self.routes is None:
--- a/copperyard/repeat_budget.py
+++ b/copperyard/repeat_budget.py
@@ -12,14 +12,14 @@
 class RepeatBudget:
     """Counts requests and repeats of one service over a sliding window.
 
-    :param ratio: repeats per request over all entries.
-    :param slack: repeats allowed beyond that, over all entries.
+    :param ratio: repeats per request over all entries; may change.
+    :param slack: repeats allowed beyond that, over all entries; may change.
     :param window_s: length of the window in seconds.
     """
 
     def __init__(self, ratio: float, slack: float, window_s: float) -> None:
-        self._ratio = ratio
-        self._slack = slack
+        self.ratio = ratio
+        self.slack = slack
         self._part_s = window_s / PARTS_PER_WINDOW
         self._parts: deque[list[int]] = deque(
             ([0, 0] for _ in range(PARTS_PER_WINDOW)),
@@ -45,7 +45,7 @@
         self._turn(now)
         requests = sum(part[0] for part in self._parts)
         repeats = sum(part[1] for part in self._parts)
-        allowed = self._ratio * requests + self._slack / max(1, entries)
+        allowed = self.ratio * requests + self.slack / max(1, entries)
         if repeats + 1 > USED_SHARE * allowed:
             return False
         self._parts[-1][1] += 1
