Tell neighbours of sends to busy servers; let named entries hear at once

Cause: under a burst all entries see the same slot become free and fill it several times over. After a mass start entries knew no other one for 0.4 s, so lookups named one entry each.

--- a/copperyard/dispatching.py
+++ b/copperyard/dispatching.py
@@ -241,10 +241,9 @@
     ) -> RetryReason | None:
         board = self._board
         load = board.find_load(known)
-        server_id = known.report.server_id
-        course.tried.add(server_id)
+        course.tried.add(known.report.server_id)
         sent_at = board.clock()
-        load.note_sent(sent_at)
+        board.note_sent(known.report.server_id, load)
         busy = load.count_busy()
         slowness = max(1.0, load.sample.slowness)
         attempt = Attempt(
@@ -265,13 +264,22 @@
         self._learn(known, answer)
         if isinstance(answer, Answered) and answer.status < _SERVER_ERROR:
             work_s = (board.clock() - sent_at) / slowness
-            slots = known.report.slots
-            crowding = board.find_crowding(course.request.service)
-            crowding.record(busy, slots, work_s)
-            if busy <= ROOMY_SHARE * slots:
-                board.find_work_time(course.route).record(work_s)
+            self._note_work(course.route, known, busy, work_s)
         return self._judge(course, answer)
 
+    def _note_work(
+        self,
+        route: Route,
+        known: KnownServer,
+        busy: int,
+        work_s: float,
+    ) -> None:
+        slots = known.report.slots
+        crowding = self._board.find_crowding(known.report.service)
+        crowding.record(busy, slots, work_s)
+        if busy <= ROOMY_SHARE * slots:
+            self._board.find_work_time(route).record(work_s)
+
     def _note_first_byte(self, course: Course, known: KnownServer) -> bool:
         # Connecting takes time; the server may have begun to leave meanwhile.
         now = self._board.clock()
--- a/copperyard/entry_board.py
+++ b/copperyard/entry_board.py
@@ -3,6 +3,7 @@
 from collections import defaultdict
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from typing import Final
 
 from anyio import Event
 
@@ -17,6 +18,9 @@
 from copperyard.server_table import KnownServer, ServerTable
 from copperyard.work_times import WorkTime
 
+# Sends to a server are told to neighbours above this share of busy slots.
+TOLD_SHARE: Final = 0.5
+
 
 @dataclass(slots=True)
 class EntryBoard:
@@ -31,6 +35,7 @@
     :param is_leaving: whether the process is about to stop.
     :param has_unsent: set when there are load reports to pass on.
     :param unsent_samples: load reports to pass on, with their time.
+    :param unsent_sends: ids of busy servers that got requests, to pass on.
     """
 
     settings: EntrySettings
@@ -47,6 +52,7 @@
     unsent_samples: dict[str, tuple[LoadSample, float]] = field(
         default_factory=dict,
     )
+    unsent_sends: list[str] = field(default_factory=list)
     _servers_by_service: dict[str, list[KnownServer]] = field(
         default_factory=dict,
     )
@@ -127,6 +133,20 @@
         self.unsent_samples[server_id] = (sample, now)
         self.has_unsent.set()
 
+    def note_sent(self, server_id: str, load: ServerLoad) -> None:
+        """Count a request that is being sent.
+
+        Other entries see the room of a busy server at the same time; told of
+        the send, they do not fill it once more.
+
+        :param server_id: the server that gets it.
+        :param load: what is known of it.
+        """
+        load.note_sent(self.clock())
+        if load.count_busy() > TOLD_SHARE * load.sample.slots:
+            self.unsent_sends.append(server_id)
+            self.has_unsent.set()
+
     def find_load(self, known: KnownServer) -> ServerLoad:
         """Return the load of a server, created at the first use."""
         report = known.report
--- a/copperyard/entry_messages.py
+++ b/copperyard/entry_messages.py
@@ -61,9 +61,14 @@
 
 
 class LoadNews(msgspec.Struct, frozen=True, array_like=True, tag='loads'):
-    """Load reports that one entry has received."""
+    """Load reports that one entry has received.
+
+    :param sent_ids: busy servers to which it has sent a request since, once
+        for each request.
+    """
 
     reports: tuple[LoadReport, ...]
+    sent_ids: tuple[str, ...] = ()
 
 
 class Goodbye(msgspec.Struct, frozen=True, array_like=True, tag='bye'):
--- a/copperyard/neighbours.py
+++ b/copperyard/neighbours.py
@@ -36,7 +36,7 @@
 # Heartbeats to an entry that was named but never heard.
 UNHEARD_TRIES_MAX: Final = 20
 # Load reports are collected for this time before they are sent.
-LOADS_EVERY_S: Final = 0.01
+LOADS_EVERY_S: Final = 0.003
 
 _RECEIVE_BYTES: Final = 64 * 1024
 
@@ -102,13 +102,18 @@
         ]
 
     def name(self, ips: Iterable[str]) -> None:
-        """Note entries that may exist.
+        """Send a heartbeat to entries that may exist, and more later.
 
         :param ips: their addresses.
         """
-        for ip in ips:
-            if ip != self._board.settings.ip and ip not in self.by_ip:
-                self._unheard.setdefault(ip, 0)
+        known = {self._board.settings.ip, *self.by_ip, *self._unheard}
+        named = [ip for ip in ips if ip not in known]
+        if not named:
+            return
+        content = encode_message(self._build_heartbeat(self._board.clock()))
+        for ip in named:
+            self._unheard[ip] = 0
+            self._send(ip, content)
 
     async def beat(self) -> None:
         """Send heartbeats until cancelled."""
@@ -180,8 +185,10 @@
                 sampled_at,
             ) in self._board.unsent_samples.items()
         )
+        sent_ids = tuple(self._board.unsent_sends)
         self._board.unsent_samples.clear()
-        content = encode_message(LoadNews(reports))
+        self._board.unsent_sends.clear()
+        content = encode_message(LoadNews(reports, sent_ids))
         own = self._board.settings.failure_domain
         for neighbour in self.list_alive(now):
             if neighbour.beat.failure_domain == own:
@@ -230,6 +237,11 @@
                 sample = LoadSample(report.busy, report.slots, report.slowness)
                 load.note_sample(sample, now - report.age_s)
 
+        for server_id in news.sent_ids:
+            load = self._board.loads_by_id.get(server_id)
+            if load is not None:
+                load.note_sent_elsewhere()
+
     def _build_heartbeat(self, now: float) -> Heartbeat:
         ips = list(self.by_ip)
         named = self._random.sample(ips, min(KNOWN_IPS_MAX, len(ips)))
--- a/copperyard/server_loads.py
+++ b/copperyard/server_loads.py
@@ -116,6 +116,10 @@
         if self.is_cold(now):
             self._cold_sends.append(now)
 
+    def note_sent_elsewhere(self) -> None:
+        """Count a request that another entry has sent."""
+        self._sent_since += 1
+
     def note_ended(self) -> None:
         """Count the end of a request."""
         self.in_flight -= 1
--- a/tests/test_picking.py
+++ b/tests/test_picking.py
@@ -277,6 +277,31 @@
     assert max(returns) - min(returns) > 0.05
 
 
+@pytest.mark.parametrize(('is_told', 'sends'), [(True, 1), (False, 6)])
+async def test_one_free_slot_seen_by_many_entries(is_told, sends):
+    """Under a burst, all entries see the same slot become free.
+
+    Told of the first send, the others do not fill it once more.
+    """
+    boards = [build_board('s1') for _ in range(6)]
+    picked = 0
+    for board in boards:
+        load = board.loads_by_id['s1']
+        load.note_sample(LoadSample(3, 4, 1.0), board.clock())
+    for board in boards:
+        picker, _ = build_picker(board, {'s1': LoadSample(3, 4, 1.0)})
+        known = await picker.pick('ledger', (), Need())
+        if isinstance(known, NotRun):
+            continue
+        picked += 1
+        board.note_sent('s1', board.loads_by_id['s1'])
+        for other in boards:
+            for server_id in board.unsent_sends:
+                if is_told and other is not board:
+                    other.loads_by_id[server_id].note_sent_elsewhere()
+    assert picked == sends
+
+
 class PacedServers:
     """Servers whose pace changes, a quarter of the time five times slower.
 
