Tell all sends and failures to neighbours; draw among equal servers

Cause: entries of a failure domain share load reports, so all of them chose the same best server for the life of a report, at low load too; of equal servers all took the first one.

--- a/copperyard/dispatching.py
+++ b/copperyard/dispatching.py
@@ -254,6 +254,7 @@
             may_send=lambda: self._note_first_byte(course, known),
             dialect=PLATFORM_DIALECT,
         )
+        answer: ForwardResult | None = None
         try:
             answer = await self._pool.forward(
                 address_server(board, known),
@@ -261,12 +262,32 @@
             )
         finally:
             load.note_ended()
+            if answer is None:
+                waited_s = board.clock() - sent_at
+                self._note_given_up(course.route, known, waited_s, slowness)
         self._learn(known, answer)
         if isinstance(answer, Answered) and answer.status < _SERVER_ERROR:
             work_s = (board.clock() - sent_at) / slowness
             self._note_work(course.route, known, busy, work_s)
         return self._judge(course, answer)
 
+    def _note_given_up(
+        self,
+        route: Route,
+        known: KnownServer,
+        waited_s: float,
+        slowness: float,
+    ) -> None:
+        # The only trace of a server that takes requests and never answers.
+        board = self._board
+        if board.find_work_time(route).is_overdue(waited_s, slowness):
+            board.metrics.count('attempt.overdue')
+            board.note_answer(
+                known.report.server_id,
+                board.find_load(known),
+                is_good=False,
+            )
+
     def _note_work(
         self,
         route: Route,
@@ -293,11 +314,14 @@
         return True
 
     def _learn(self, known: KnownServer, answer: ForwardResult) -> None:
-        now = self._board.clock()
-        load = self._board.find_load(known)
+        board = self._board
+        load = board.find_load(known)
+        server_id = known.report.server_id
+        is_good = False
+        text = ''
         match answer:
-            case AttemptFailure(kind=FailureKind.NOT_RUN, load=text):
-                load.note_answer(is_good=False)
+            case AttemptFailure(kind=FailureKind.NOT_RUN):
+                text = answer.load
             case AttemptFailure(
                 kind=FailureKind.FULL
                 | FailureKind.INVALID
@@ -306,15 +330,14 @@
             ):
                 return
             case AttemptFailure():
-                load.note_broken(now)
-                load.note_answer(is_good=False)
-                return
+                load.note_broken(board.clock())
             case Answered() | StreamedAnswer():
                 text = PLATFORM_DIALECT.find_load(answer.headers)
-                load.note_answer(is_good=answer.status < _SERVER_ERROR)
+                is_good = answer.status < _SERVER_ERROR
+        board.note_answer(server_id, load, is_good=is_good)
         sample = read_load(text)
         if sample is not None:
-            self._board.note_sample(known.report.server_id, load, sample)
+            board.note_sample(server_id, load, sample)
 
     def _judge(
         self,
--- a/copperyard/entry_board.py
+++ b/copperyard/entry_board.py
@@ -1,9 +1,8 @@
 """The blackboard of an entry process."""
 
-from collections import defaultdict
+from collections import Counter, defaultdict
 from collections.abc import Callable
 from dataclasses import dataclass, field
-from typing import Final
 
 from anyio import Event
 
@@ -18,9 +17,6 @@
 from copperyard.server_table import KnownServer, ServerTable
 from copperyard.work_times import WorkTime
 
-# Sends to a server are told to neighbours above this share of busy slots.
-TOLD_SHARE: Final = 0.5
-
 
 @dataclass(slots=True)
 class EntryBoard:
@@ -35,7 +31,8 @@
     :param is_leaving: whether the process is about to stop.
     :param has_unsent: set when there are load reports to pass on.
     :param unsent_samples: load reports to pass on, with their time.
-    :param unsent_sends: ids of busy servers that got requests, to pass on.
+    :param unsent_sends: servers that got requests, to pass on.
+    :param unsent_answers: good and bad answers by server, to pass on.
     """
 
     settings: EntrySettings
@@ -53,6 +50,7 @@
         default_factory=dict,
     )
     unsent_sends: list[str] = field(default_factory=list)
+    unsent_answers: Counter[tuple[str, bool]] = field(default_factory=Counter)
     _servers_by_service: dict[str, list[KnownServer]] = field(
         default_factory=dict,
     )
@@ -136,16 +134,32 @@
     def note_sent(self, server_id: str, load: ServerLoad) -> None:
         """Count a request that is being sent.
 
-        Other entries see the room of a busy server at the same time; told of
-        the send, they do not fill it once more.
+        Other entries see the same server as the best one at the same time;
+        told of the send, they do not choose it too.
 
         :param server_id: the server that gets it.
         :param load: what is known of it.
         """
         load.note_sent(self.clock())
-        if load.count_busy() > TOLD_SHARE * load.sample.slots:
-            self.unsent_sends.append(server_id)
-            self.has_unsent.set()
+        self.unsent_sends.append(server_id)
+        self.has_unsent.set()
+
+    def note_answer(
+        self,
+        server_id: str,
+        load: ServerLoad,
+        *,
+        is_good: bool,
+    ) -> None:
+        """Count an answer of a server and have it passed on.
+
+        :param server_id: the server.
+        :param load: what is known of it.
+        :param is_good: whether the request succeeded.
+        """
+        load.note_answers(int(is_good), int(not is_good), self.clock())
+        self.unsent_answers[server_id, is_good] += 1
+        self.has_unsent.set()
 
     def find_load(self, known: KnownServer) -> ServerLoad:
         """Return the load of a server, created at the first use."""
--- a/copperyard/entry_messages.py
+++ b/copperyard/entry_messages.py
@@ -60,15 +60,29 @@
     age_s: float
 
 
+class AnswerCounts(msgspec.Struct, frozen=True, array_like=True):
+    """What became of requests to one server.
+
+    :param good: whole answers other than server errors.
+    :param bad: failures, and answers that were given up as overdue.
+    """
+
+    server_id: str
+    good: int
+    bad: int
+
+
 class LoadNews(msgspec.Struct, frozen=True, array_like=True, tag='loads'):
     """Load reports that one entry has received.
 
-    :param sent_ids: busy servers to which it has sent a request since, once
-        for each request.
+    :param sent_ids: servers to which it has sent a request since, once for
+        each request.
+    :param answers: what became of requests since the last news.
     """
 
     reports: tuple[LoadReport, ...]
     sent_ids: tuple[str, ...] = ()
+    answers: tuple[AnswerCounts, ...] = ()
 
 
 class Goodbye(msgspec.Struct, frozen=True, array_like=True, tag='bye'):
--- a/copperyard/neighbours.py
+++ b/copperyard/neighbours.py
@@ -1,7 +1,7 @@
 """The other entries: who they are, and datagrams to and from them."""
 
 import socket
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from contextlib import AsyncExitStack
 from dataclasses import dataclass
 from random import Random
@@ -12,6 +12,7 @@
 from copperyard.entry_board import EntryBoard
 from copperyard.entry_messages import (
     DATAGRAM_MAX_BYTES,
+    AnswerCounts,
     Datagram,
     Goodbye,
     Heartbeat,
@@ -186,9 +187,11 @@
             ) in self._board.unsent_samples.items()
         )
         sent_ids = tuple(self._board.unsent_sends)
+        answers = _count_answers(self._board.unsent_answers)
         self._board.unsent_samples.clear()
         self._board.unsent_sends.clear()
-        content = encode_message(LoadNews(reports, sent_ids))
+        self._board.unsent_answers.clear()
+        content = encode_message(LoadNews(reports, sent_ids, answers))
         own = self._board.settings.failure_domain
         for neighbour in self.list_alive(now):
             if neighbour.beat.failure_domain == own:
@@ -241,6 +244,10 @@
             load = self._board.loads_by_id.get(server_id)
             if load is not None:
                 load.note_sent_elsewhere()
+        for counts in news.answers:
+            load = self._board.loads_by_id.get(counts.server_id)
+            if load is not None:
+                load.note_answers(counts.good, counts.bad, now)
 
     def _build_heartbeat(self, now: float) -> Heartbeat:
         ips = list(self.by_ip)
@@ -271,3 +278,17 @@
             # The next datagram may get through; nothing relies on one.
             self._board.metrics.count('datagram.unsent')
             log_event('datagram_unsent', entry=ip, detail=str(error))
+
+
+def _count_answers(
+    answers: Mapping[tuple[str, bool], int],
+) -> tuple[AnswerCounts, ...]:
+    server_ids = {server_id for server_id, _ in answers}
+    return tuple(
+        AnswerCounts(
+            server_id,
+            good=answers.get((server_id, True), 0),
+            bad=answers.get((server_id, False), 0),
+        )
+        for server_id in server_ids
+    )
--- a/copperyard/picking.py
+++ b/copperyard/picking.py
@@ -15,6 +15,8 @@
 
 # A server that costs no more than this is taken without asking others.
 GOOD_COST: Final = 1.25
+# Servers whose weights differ by less are equally good.
+EQUAL_SHARE: Final = 1.1
 # Servers asked at a time, and how often others are asked if none is good.
 PROBES_AT_A_TIME: Final = 2
 PROBE_ROUNDS: Final = 3
@@ -109,7 +111,7 @@
         waits_until = self._board.clock() + need.wait_s
         for asks in range(PROBE_ROUNDS):
             candidates = self._list(service, excluded)
-            best = find_best(candidates)
+            best = draw_best(candidates, self._random)
             if best is not None and best.is_good:
                 return best.known
             is_enough = bool(asks) and is_crowded(candidates)
@@ -172,7 +174,7 @@
                 for candidate in with_room
                 if candidate.load.estimate_slowness(now) <= need.slowness_max
             ]
-        best = find_best(with_room)
+        best = draw_best(with_room, self._random)
         if need.is_spare and best is not None and not best.is_good:
             return None
         return best
@@ -233,12 +235,23 @@
         return [found.known for found in askable[:PROBES_AT_A_TIME]]
 
 
-def find_best(candidates: Sequence[Candidate]) -> Candidate | None:
-    """Return the candidate with the lowest weight.
+def draw_best(
+    candidates: Sequence[Candidate],
+    random: Random,
+) -> Candidate | None:
+    """Draw one of the candidates of nearly the lowest weight.
+
+    Entries that all took the first of equal servers would meet there.
 
     :param candidates: servers that may get the request.
+    :param random: source of randomness.
     """
-    return min(candidates, key=_weight, default=None)
+    if not candidates:
+        return None
+    bound = EQUAL_SHARE * min(map(_weight, candidates))
+    return random.choice(
+        [candidate for candidate in candidates if candidate.weight <= bound],
+    )
 
 
 def is_crowded(candidates: Sequence[Candidate]) -> bool:
--- a/copperyard/server_loads.py
+++ b/copperyard/server_loads.py
@@ -4,6 +4,8 @@
 from dataclasses import dataclass
 from typing import Final
 
+from copperyard.failure_shares import FailureShare
+
 # Neighbours of a server change its pace several times a second; an older
 # report says little about the next request.
 FRESH_S: Final = 0.035
@@ -18,9 +20,8 @@
 # Pause after a first failure, doubled by each further one.
 PAUSE_S: Final = 0.25
 PAUSE_MAX_S: Final = 2.0
-# Weight of one answer in the smoothed share of failures.
-FAILURE_WEIGHT: Final = 0.1
-# A server that fails this share of its requests costs twice as much.
+# A server that fails a quarter of its requests costs about twice as much: what
+# fails is sent again, or lost.
 FAILURE_COST: Final = 4.0
 
 
@@ -53,7 +54,7 @@
         # Whether it must answer a health check before it gets work again: it
         # may have restarted cold.
         self.needs_check = False
-        self.failing = 0.0
+        self.failures = FailureShare()
         self._sent_since = 0
         self._pause_s = PAUSE_S
         self._cold_sends: deque[float] = deque(maxlen=8)
@@ -78,7 +79,7 @@
         sample = self.sample
         busy = self.count_busy()
         cost = self.estimate_slowness(now)
-        cost *= 1 + FAILURE_COST * self.failing
+        cost *= 1 + FAILURE_COST * self.failures.find(now)
         if busy >= sample.slots:
             return cost * (KNEE_COST + (busy - sample.slots + 1) / sample.slots)
         if busy + 1 > KNEE_SHARE * sample.slots:
@@ -124,13 +125,15 @@
         """Count the end of a request."""
         self.in_flight -= 1
 
-    def note_answer(self, *, is_good: bool) -> None:
-        """Count a whole answer.
+    def note_answers(self, good: int, bad: int, now: float) -> None:
+        """Count whole answers, and failures.
 
-        :param is_good: whether the request succeeded.
+        :param good: requests that succeeded.
+        :param bad: requests that failed.
+        :param now: ``CLOCK_BOOTTIME`` in seconds.
         """
-        self.failing += FAILURE_WEIGHT * ((not is_good) - self.failing)
-        if is_good:
+        self.failures.record(good, bad, now)
+        if good:
             self._pause_s = PAUSE_S
 
     def note_broken(self, now: float) -> None:
--- a/copperyard/work_times.py
+++ b/copperyard/work_times.py
@@ -6,6 +6,8 @@
 # counts like this many answers until there are more.
 TARGET_PER_WORK: Final = 2.5
 ASSUMED_ANSWERS: Final = 10
+# Work rarely takes longer than that many times its usual time.
+OVERDUE_FACTOR: Final = 2.5
 # Weight of one answer in the smoothed time; about the last hundred count.
 ANSWER_WEIGHT: Final = 0.02
 # Work on a server at its usual pace is always acceptable, also for a target
@@ -32,6 +34,14 @@
         weight = max(ANSWER_WEIGHT, 1 / self._answers)
         self._work_s += weight * (work_s - self._work_s)
 
+    def is_overdue(self, waited_s: float, slowness: float) -> bool:
+        """Return whether an answer takes longer than noise explains.
+
+        :param waited_s: time since the request was sent.
+        :param slowness: of the server, when it was sent.
+        """
+        return waited_s > OVERDUE_FACTOR * self._work_s * max(1.0, slowness)
+
     def find_slowness_max(self, target_s: float) -> float:
         """Return up to which slowness an answer is expected in time.
 
--- a/tests/test_dispatching.py
+++ b/tests/test_dispatching.py
@@ -116,6 +116,24 @@
     assert len(pool.cancelled) == 1
 
 
+async def test_server_that_never_answers_is_noted():
+    """The copy answers, the first send is given up: a server that hangs."""
+    board = build_board('s1', 's2', clock=boot_now)
+    pool = ScriptedPool((30, None), (0.15, answered()))
+    dispatcher = Dispatcher(board, pool, SlowPicker(board))
+    await dispatcher.run(build_course(boot_now))
+    assert board.loads_by_id['s1'].failures.find(boot_now()) > 0
+
+
+async def test_send_given_up_early_says_nothing():
+    """The copy was faster, as it often is."""
+    board = build_board('s1', 's2', clock=boot_now)
+    pool = ScriptedPool((30, None), (0, answered()))
+    dispatcher = Dispatcher(board, pool, SlowPicker(board))
+    await dispatcher.run(build_course(boot_now))
+    assert board.loads_by_id['s1'].failures.find(boot_now()) == 0
+
+
 async def test_unsafe_is_never_hedged():
     """A slow non-idempotent request waits for its one server."""
     outcome, pool = await run((0.3, answered(200)), is_idempotent=False)
--- a/tests/test_neighbours.py
+++ b/tests/test_neighbours.py
@@ -87,3 +87,19 @@
         first.name(('127.0.0.32',))
         await until(lambda: '127.0.0.31' in board.entry_ips)
         group.cancel_scope.cancel()
+
+
+async def test_failures_are_told():
+    """A server that fails part of its requests is found by all at once.
+
+    Each entry alone sees too few of its answers; its health check is good.
+    """
+    async with open_pair() as ((board, _), (other, _)):
+        for number in range(20):
+            board.note_answer(
+                's1',
+                board.loads_by_id['s1'],
+                is_good=bool(number % 2),
+            )
+        failures = other.loads_by_id['s1'].failures
+        await until(lambda: failures.find(boot_now()) > 0.3)
--- a/tests/test_picking.py
+++ b/tests/test_picking.py
@@ -180,7 +180,7 @@
     board = build_board('grey', 'sound')
     grey = board.find_load(board.table.servers_by_id['grey'])
     for _ in range(10):
-        grey.note_answer(is_good=False)
+        grey.note_answers(0, 1, board.clock())
     picker, _ = build_picker(board, {})
     picked = await picker.pick('ledger', (), Need())
     assert picked.report.server_id == 'sound'
@@ -302,6 +302,21 @@
     assert picked == sends
 
 
+async def test_equal_servers_seen_by_many_entries():
+    """A fresh report of idle servers reaches all entries at once.
+
+    They must not all send to the first of these servers.
+    """
+    picks = Counter()
+    for seed in range(24):
+        board = build_board(*(f's{number}' for number in range(12)))
+        prober = ScriptedProber(board, {})
+        picker = ServerPicker(board, prober, Random(seed))
+        known = await picker.pick('ledger', (), Need())
+        picks[known.report.server_id] += 1
+    assert max(picks.values()) <= 6
+
+
 class PacedServers:
     """Servers whose pace changes, a quarter of the time five times slower.
 
