--- a/copperyard/attempts.py
+++ b/copperyard/attempts.py
@@ -8,15 +8,14 @@
 from copperyard.authority import AuthorityLevel
 from copperyard.blackboard import ProxyBoard
 from copperyard.clock import boot_now
-from copperyard.connections import (
+from copperyard.dialects import OWN_DIALECT
+from copperyard.exchange_messages import (
     Attempt,
     AttemptFailure,
     FailureKind,
-    ForwardResult,
     ServerAddress,
-    StreamedAnswer,
 )
-from copperyard.dialects import OWN_DIALECT
+from copperyard.exchanges import ForwardResult, StreamedAnswer
 from copperyard.loan_desk import LoanDesk, LoanedSlot
 from copperyard.outcomes import Answered, AttemptOutcome
 from copperyard.requests import CallerRequest
--- a/copperyard/blackboard.py
+++ b/copperyard/blackboard.py
@@ -7,7 +7,7 @@
 
 from copperyard.authority import AuthorityLevel
 from copperyard.configuration import Configuration
-from copperyard.connections import BackendPool
+from copperyard.exchanges import BackendPool
 from copperyard.following import LogFollower
 from copperyard.grants import Grant, GrantLedger
 from copperyard.membership import HeartbeatTable, ViewHistory
--- a/copperyard/caller_api.py
+++ b/copperyard/caller_api.py
@@ -11,7 +11,8 @@
 from returns.result import Failure
 
 from copperyard.blackboard import ProxyBoard
-from copperyard.connections import AttemptFailure, StreamedAnswer
+from copperyard.exchange_messages import AttemptFailure
+from copperyard.exchanges import StreamedAnswer
 from copperyard.forwarding import FinalOutcome, Forwarder
 from copperyard.logs import log_event
 from copperyard.lookup import build_entries, list_entries
--- a/copperyard/caller_connections.py
+++ b/copperyard/caller_connections.py
@@ -15,7 +15,7 @@
 from anyio.abc import SocketStream
 from httptools import HttpParserError, HttpParserUpgrade, HttpRequestParser
 
-from copperyard.connections import AttemptFailure
+from copperyard.exchange_messages import AttemptFailure
 from copperyard.outcomes import Header, NotRun, RefusalReason
 from copperyard.replies import Reply, build_reply, encode_head, is_chunked
 from copperyard.routes import RequestLimits
--- a/copperyard/calls.py
+++ b/copperyard/calls.py
@@ -2,15 +2,14 @@
 
 from typing import Final
 
-from copperyard.connections import (
+from copperyard.dialects import Dialect
+from copperyard.exchange_messages import (
     Attempt,
     AttemptFailure,
-    BackendPool,
     FailureKind,
     ServerAddress,
-    StreamedAnswer,
 )
-from copperyard.dialects import Dialect
+from copperyard.exchanges import BackendPool, StreamedAnswer
 from copperyard.outcomes import Answered, Header
 from copperyard.requests import CallerRequest
 
--- a/copperyard/dispatching.py
+++ b/copperyard/dispatching.py
@@ -1,23 +1,20 @@
 """The course of one caller's request: sends, repeats and its outcome."""
 
-from collections.abc import Mapping
 from dataclasses import dataclass, field
-from types import MappingProxyType
 from typing import Final, TypeAlias
 
 import anyio
 from anyio.abc import TaskGroup
 
-from copperyard.connections import (
+from copperyard.crowding import ROOMY_SHARE
+from copperyard.entry_board import EntryBoard
+from copperyard.exchange_messages import (
+    RETRY_REASONS,
     Attempt,
     AttemptFailure,
-    BackendPool,
     FailureKind,
-    ForwardResult,
-    StreamedAnswer,
 )
-from copperyard.crowding import ROOMY_SHARE
-from copperyard.entry_board import EntryBoard
+from copperyard.exchanges import BackendPool, ForwardResult, StreamedAnswer
 from copperyard.load_probing import address_server
 from copperyard.logs import log_event
 from copperyard.outcomes import (
@@ -48,21 +45,6 @@
 TRIED_MAX: Final = 5
 
 _SERVER_ERROR: Final = 500
-# Failures after which no other server is tried are left out.
-_RETRY_REASONS: Final[Mapping[FailureKind, RetryReason]] = MappingProxyType(
-    {
-        FailureKind.REFUSED: RetryReason.CONNECT_FAILED,
-        FailureKind.FULL: RetryReason.CONNECT_FAILED,
-        FailureKind.NOT_PERMITTED: RetryReason.CONNECT_FAILED,
-        FailureKind.NOT_RUN: RetryReason.SERVER_REFUSED,
-        FailureKind.OTHER_SERVER: RetryReason.SERVER_REFUSED,
-        FailureKind.RESET: RetryReason.ANSWER_LOST,
-        FailureKind.SILENT: RetryReason.ANSWER_LOST,
-        FailureKind.MISMATCHED: RetryReason.ANSWER_MISMATCHED,
-        FailureKind.TRUNCATED: RetryReason.ANSWER_TRUNCATED,
-    },
-)
-
 CourseOutcome: TypeAlias = Answered | StreamedAnswer | NotRun | Unknown
 
 
@@ -73,8 +55,8 @@
     :param request: the request as it is sent to servers.
     :param body: its whole body.
     :param route: the route that it matched.
-    :param deadline: when the caller gives up, ``CLOCK_BOOTTIME`` in seconds.
-    :param ends_at: when the caller gets an answer at the latest.
+    :param ends_at: when the caller gets an answer at the latest,
+        ``CLOCK_BOOTTIME`` in seconds.
     :param sends: servers that were sent the request.
     :param tried: ids of these servers.
     :param possible_runs: sends after which a server can have run it.
@@ -86,7 +68,6 @@
     request: CallerRequest
     body: bytes
     route: Route
-    deadline: float
     ends_at: float
     sends: int = 0
     tried: set[str] = field(default_factory=set)
@@ -384,7 +365,7 @@
                 failure.detail,
             )
             course.note_failure(refused)
-        return _RETRY_REASONS.get(failure.kind)
+        return RETRY_REASONS.get(failure.kind)
 
     def _explain_repeat(
         self,
--- a/copperyard/entry.py
+++ b/copperyard/entry.py
@@ -18,11 +18,11 @@
     CallerConnection,
     CallerTerms,
 )
-from copperyard.connections import BackendPool
 from copperyard.dispatching import Dispatcher
 from copperyard.entry_api import EntryApi
 from copperyard.entry_board import EntryBoard
 from copperyard.entry_settings import EntrySettings
+from copperyard.exchanges import BackendPool
 from copperyard.knowledge import Knowledge
 from copperyard.load_probing import LoadProber
 from copperyard.logs import configure_logs, log_event
@@ -45,6 +45,8 @@
 EXIT_SHARE: Final = 0.9
 DRAIN_LOOK_S: Final = 0.05
 CLOSE_IDLE_EVERY_S: Final = 1.0
+# Descriptors for callers; the others lead to backend servers and entries.
+CALLERS_SHARE: Final = 0.6
 
 
 class EntryProcess:
@@ -146,11 +148,22 @@
     async def _serve(self, terms: CallerTerms, stream: SocketStream) -> None:
         connection = CallerConnection(stream, terms)
         self._connections.add(connection)
+        self._make_room()
         try:
             await connection.run()
         finally:
             self._connections.discard(connection)
 
+    def _make_room(self) -> None:
+        bound = CALLERS_SHARE * self.board.settings.max_descriptors
+        if len(self._connections) <= bound:
+            return
+        for connection in self._connections:
+            if connection.is_idle:
+                self.board.metrics.count('caller.closed_for_room')
+                connection.close()
+                return
+
     def _is_leaving(self) -> bool:
         return self.board.is_leaving
 
@@ -177,7 +190,10 @@
         self.board.is_leaving = True
         log_event('leaving', connections=len(self._connections))
         self._neighbours.say_goodbye()
-        await anyio.sleep(STAY_SHARE * grace_s)
+        fault = await self._store.remove_entry(self.board.settings.ip)
+        if fault is not None:
+            log_event('store_call_failed', reason=fault.detail)
+        await anyio.sleep(began + STAY_SHARE * grace_s - self.board.clock())
         while self.board.clock() - began < EXIT_SHARE * grace_s:
             for connection in tuple(self._connections):
                 if connection.is_idle:
--- a/copperyard/entry_api.py
+++ b/copperyard/entry_api.py
@@ -166,7 +166,6 @@
             ),
             body=received.body,
             route=route,
-            deadline=received.received_at + left_s,
             ends_at=received.received_at
             + min(left_s, route.timeout_s)
             - REPLY_MARGIN_S,
--- a/copperyard/entry_messages.py
+++ b/copperyard/entry_messages.py
@@ -20,7 +20,6 @@
     :param operator_end: offset up to which it knows the operator's records.
     :param operator_age_s: seconds since that was the end of the log.
     :param known_ips: some entries that it hears.
-    :param wants_answer: whether the receiver should answer at once.
     """
 
     ip: str
@@ -29,7 +28,6 @@
     operator_end: int
     operator_age_s: float
     known_ips: tuple[str, ...] = ()
-    wants_answer: bool = False
 
 
 class ServerNews(msgspec.Struct, frozen=True, array_like=True, tag='servers'):
--- a/copperyard/entry_settings.py
+++ b/copperyard/entry_settings.py
@@ -11,8 +11,6 @@
     :param repeat_ratio: repeats per request over all entries.
     :param repeat_slack: repeats allowed beyond that share in a window.
     :param repeat_window_s: seconds over which repeats are counted.
-    :param cold_overage: factor on a cold server's declared rate.
-    :param cold_slack: requests a second allowed beyond that.
     :param lookup_ttl_s: longest time a lookup's answer may be kept.
     """
 
@@ -20,8 +18,6 @@
     repeat_ratio: float
     repeat_slack: float
     repeat_window_s: float
-    cold_overage: float
-    cold_slack: float
     lookup_ttl_s: float
 
 
--- a/copperyard/forwarding.py
+++ b/copperyard/forwarding.py
@@ -11,8 +11,8 @@
 from copperyard.blackboard import ProxyBoard
 from copperyard.claim_desk import ClaimDesk, GrantedClaim
 from copperyard.clock import boot_now
-from copperyard.connections import StreamedAnswer
 from copperyard.exceptions import InvariantError
+from copperyard.exchanges import StreamedAnswer
 from copperyard.hedging import HedgeTimer, Race
 from copperyard.loan_desk import LoanDesk
 from copperyard.outcomes import (
--- a/copperyard/hedging.py
+++ b/copperyard/hedging.py
@@ -10,8 +10,8 @@
 
 from copperyard.attempts import AttemptRunner, Slot
 from copperyard.clock import boot_now
-from copperyard.connections import ForwardResult, StreamedAnswer
 from copperyard.exceptions import InvariantError
+from copperyard.exchanges import ForwardResult, StreamedAnswer
 from copperyard.requests import CallerRequest
 from copperyard.retries import (
     AnswerCaller,
--- a/copperyard/load_probing.py
+++ b/copperyard/load_probing.py
@@ -7,15 +7,9 @@
 from anyio.abc import TaskGroup
 
 from copperyard.calls import build_request
-from copperyard.connections import (
-    Attempt,
-    AttemptFailure,
-    BackendPool,
-    ForwardResult,
-    ServerAddress,
-    StreamedAnswer,
-)
 from copperyard.entry_board import EntryBoard
+from copperyard.exchange_messages import Attempt, AttemptFailure, ServerAddress
+from copperyard.exchanges import BackendPool, ForwardResult, StreamedAnswer
 from copperyard.logs import log_event
 from copperyard.platform import (
     HEALTH_DIALECT,
@@ -128,8 +122,11 @@
         if sample is not None:
             board.note_sample(known.report.server_id, load, sample)
         load.cold_until = now + read_cold_left_s(answer.headers)
-        if answer.status == _OK:
-            load.needs_check = False
+        # Its cold time is known now. Whether it is as ill as it says shows in
+        # its answers; until then it costs more.
+        load.needs_check = False
+        if answer.status != _OK:
+            board.note_answer(known.report.server_id, load, is_good=False)
 
 
 def address_server(board: EntryBoard, known: KnownServer) -> ServerAddress:
--- a/copperyard/platform/settings.py
+++ b/copperyard/platform/settings.py
@@ -111,8 +111,5 @@
         # "budget-slack" counts repeats in a window, not a share.
         repeat_slack=fields.read('bounds.budget-slack', float, 0.0),
         repeat_window_s=fields.read('bounds.budget-window-s', float, 0.0),
-        cold_overage=fields.read('bounds.warmup-overage', float, 0.0),
-        # "warmup-slack" counts requests in a second.
-        cold_slack=fields.read('bounds.warmup-slack', float, 0.0),
         lookup_ttl_s=fields.read('bounds.ttl_max_s', float, 0.0),
     )
--- a/copperyard/platform/store.py
+++ b/copperyard/platform/store.py
@@ -8,7 +8,8 @@
 import msgspec
 
 from copperyard.calls import call_http, explain_failure
-from copperyard.connections import AttemptFailure, BackendPool
+from copperyard.exchange_messages import AttemptFailure
+from copperyard.exchanges import BackendPool
 from copperyard.outcomes import Answered
 from copperyard.platform.entries import decode_entry, is_damaged
 from copperyard.platform.operator import (
--- a/copperyard/proxy.py
+++ b/copperyard/proxy.py
@@ -16,7 +16,7 @@
 from copperyard.caller_api import CallerApi
 from copperyard.claim_desk import ClaimDesk
 from copperyard.clock import boot_now
-from copperyard.connections import BackendPool
+from copperyard.exchanges import BackendPool
 from copperyard.feed_controller import FeedController
 from copperyard.forwarding import Forwarder
 from copperyard.hedging import HedgeTimer
--- a/copperyard/replies.py
+++ b/copperyard/replies.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 from typing import Final
 
-from copperyard.connections import StreamedAnswer
+from copperyard.exchanges import StreamedAnswer
 from copperyard.outcomes import (
     Answered,
     Header,
--- a/copperyard/retries.py
+++ b/copperyard/retries.py
@@ -11,12 +11,12 @@
 from types import MappingProxyType
 from typing import Final, TypeAlias
 
-from copperyard.connections import (
+from copperyard.exchange_messages import (
+    RETRY_REASONS,
     AttemptFailure,
     FailureKind,
-    ForwardResult,
-    StreamedAnswer,
 )
+from copperyard.exchanges import ForwardResult, StreamedAnswer
 from copperyard.outcomes import (
     Answered,
     NotRun,
@@ -40,21 +40,6 @@
 RETRY_AFTER_UNKNOWN_S: Final = 1.0
 
 _SERVER_ERRORS: Final = frozenset((500, 502, 503, 504))
-_RETRY_REASONS: Final[Mapping[FailureKind, RetryReason]] = MappingProxyType(
-    {
-        FailureKind.REFUSED: RetryReason.CONNECT_FAILED,
-        FailureKind.FULL: RetryReason.CONNECT_FAILED,
-        # The server moved to another owner, or a loan ran out, while a
-        # connection was opened; nothing was sent.
-        FailureKind.NOT_PERMITTED: RetryReason.CONNECT_FAILED,
-        FailureKind.RESET: RetryReason.ANSWER_LOST,
-        FailureKind.SILENT: RetryReason.SERVER_SILENT,
-        FailureKind.TRUNCATED: RetryReason.ANSWER_TRUNCATED,
-        FailureKind.MISMATCHED: RetryReason.ANSWER_MISMATCHED,
-        FailureKind.NOT_RUN: RetryReason.SERVER_REFUSED,
-        FailureKind.OTHER_SERVER: RetryReason.SERVER_REFUSED,
-    },
-)
 _REFUSALS: Final[Mapping[FailureKind, RefusalReason]] = MappingProxyType(
     {
         FailureKind.REFUSED: RefusalReason.CONNECT_FAILED,
@@ -348,7 +333,7 @@
     ended = _note_failure(_end_attempt(progress), failure)
     if ended.running:
         return RetryDecision(AwaitRunning(), ended)
-    reason = _RETRY_REASONS.get(failure.kind)
+    reason = RETRY_REASONS.get(failure.kind)
     if reason is not None and _may_retry(ended, conditions):
         if not failure.is_sent:
             reason = RetryReason.CONNECT_FAILED
--- a/copperyard/store_watch.py
+++ b/copperyard/store_watch.py
@@ -5,9 +5,9 @@
 import anyio
 
 from copperyard.calls import call_http
-from copperyard.connections import BackendPool
 from copperyard.entry_board import EntryBoard
 from copperyard.entry_messages import decode_snapshot
+from copperyard.exchanges import BackendPool
 from copperyard.knowledge import UNKNOWN, Knowledge
 from copperyard.logs import log_event
 from copperyard.neighbours import Neighbours
--- a/scripts/measure_connections.py
+++ b/scripts/measure_connections.py
@@ -25,7 +25,8 @@
 import httpx
 
 from copperyard.clock import boot_now
-from copperyard.connections import Attempt, BackendPool, ServerAddress
+from copperyard.exchange_messages import Attempt, ServerAddress
+from copperyard.exchanges import BackendPool
 from copperyard.outcomes import Answered
 from copperyard.requests import parse_request
 
--- a/tests/entry_builders.py
+++ b/tests/entry_builders.py
@@ -20,8 +20,6 @@
     repeat_ratio=0.2,
     repeat_slack=58.0,
     repeat_window_s=10.0,
-    cold_overage=1.5,
-    cold_slack=5.0,
     lookup_ttl_s=5.0,
 )
 
@@ -132,6 +130,5 @@
         ),
         body=b'',
         route=route,
-        deadline=clock() + left_s,
         ends_at=clock() + left_s,
     )
--- a/tests/standins/platform.py
+++ b/tests/standins/platform.py
@@ -109,6 +109,11 @@
         """Drop a key."""
         self.put(topic, key, b'')
 
+    def list_keys(self, topic):
+        """Return the keys of a topic that have a value."""
+        newest = dict(self._records.get(topic, ()))
+        return {key for key, value in newest.items() if value}
+
     def delete_history(self, topic):
         """Forget all records but the newest of each key."""
         self._first[topic] = len(self._records.get(topic, ()))
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -8,17 +8,14 @@
 import pytest
 
 from copperyard.clock import boot_now
-from copperyard.connections import (
-    BUFFER_LIMIT_BYTES,
-    IDLE_MAX_S,
-    IDLE_REUSE_S,
+from copperyard.connections import IDLE_MAX_S, IDLE_REUSE_S
+from copperyard.exchange_messages import (
     Attempt,
     AttemptFailure,
-    BackendPool,
     FailureKind,
     ServerAddress,
-    StreamedAnswer,
 )
+from copperyard.exchanges import BUFFER_LIMIT_BYTES, BackendPool, StreamedAnswer
 from copperyard.outcomes import Answered
 from copperyard.requests import parse_request
 from tests.standins.backend_server import BackendServer, Options
--- a/tests/test_dispatching.py
+++ b/tests/test_dispatching.py
@@ -6,8 +6,8 @@
 import pytest
 
 from copperyard.clock import boot_now
-from copperyard.connections import AttemptFailure, FailureKind
 from copperyard.dispatching import Dispatcher
+from copperyard.exchange_messages import AttemptFailure, FailureKind
 from copperyard.outcomes import (
     Answered,
     NotRun,
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -160,7 +160,7 @@
             await _check_configuration(world, started)
             await _check_leave(world, first, servers)
             await _check_evacuation(world, first)
-            await _check_stop(first, second)
+            await _check_stop(world, first, second)
 
 
 async def _check_requests(entry, servers):
@@ -222,7 +222,8 @@
     assert await until(is_served, 2)
 
 
-async def _check_stop(first, second):
+async def _check_stop(world, first, second):
+    assert first.ip in world.store.list_keys('keyed.entries')
     first.process.send_signal(signal.SIGTERM)
 
     async def only_second():
@@ -234,6 +235,7 @@
     assert late.startswith(b'HTTP/1.1 200')
     assert b'connection: close' in late
     assert await asyncio.to_thread(first.process.wait, 4) == 0
+    assert first.ip not in world.store.list_keys('keyed.entries')
 
 
 async def test_starts_from_a_neighbour_while_the_store_is_away(tmp_path):
--- a/tests/test_platform_records.py
+++ b/tests/test_platform_records.py
@@ -6,7 +6,7 @@
 from returns.result import Failure
 
 from copperyard.clock import boot_now
-from copperyard.connections import BackendPool
+from copperyard.exchanges import BackendPool
 from copperyard.platform.entries import decode_entry, is_damaged
 from copperyard.platform.headers import read_cold_left_s, read_load
 from copperyard.platform.lookups import encode_lookup, read_caller_domain
--- a/tests/test_slots.py
+++ b/tests/test_slots.py
@@ -8,7 +8,7 @@
 from copperyard.authority import Authority, AuthorityLevel
 from copperyard.blackboard import ProxyBoard
 from copperyard.clock import boot_now
-from copperyard.connections import BackendPool
+from copperyard.exchanges import BackendPool
 from copperyard.grants import Grant, ServerGrant
 from copperyard.metrics import Metrics
 from copperyard.outcomes import AttemptOutcome, NotRun, RefusalReason
