Serve latency histograms and gauges on the metrics address

Counters alone could not answer whether one entry, one service or all are late. Each reply's time is counted by service and outcome in fixed buckets; requests at servers, repeats left, ages of what was read, servers and neighbours known are read when they are asked for. Names and labels are those of Prometheus' text format. Ruled out: its client library (0.045 s of processor time at each start and 5 MB, measured; a start costs 0.09 s in all) and hdrhistogram (0.015 s).

--- a/copperyard/entry_api.py
+++ b/copperyard/entry_api.py
@@ -5,11 +5,17 @@
 
 from copperyard.caller_connections import ReceivedRequest
 from copperyard.calls import build_request
-from copperyard.dispatching import Course, Dispatcher
+from copperyard.dispatching import Course, CourseOutcome, Dispatcher
 from copperyard.entry_board import EntryBoard
+from copperyard.entry_gauges import update_gauges
 from copperyard.entry_messages import encode_message
 from copperyard.knowledge import Knowledge
 from copperyard.logs import log_event
+from copperyard.metrics_text import (
+    CONTENT_TYPE,
+    name_with,
+    render_metrics,
+)
 from copperyard.neighbours import Neighbours
 from copperyard.outcomes import Answered, NotRun, RefusalReason, Unknown
 from copperyard.platform import (
@@ -129,20 +135,15 @@
         )
 
     async def serve_metrics(self, received: ReceivedRequest) -> Reply:
-        """Return the counters as text.
+        """Return counters, gauges and latency histograms as text.
 
         :param received: as it was read.
         """
-        lines = [
-            f'{name.replace(".", "_")} {count}\n'
-            for name, count in sorted(
-                self._board.metrics.counts_by_name.items(),
-            )
-        ]
+        update_gauges(self._board, self._knowledge)
         return Reply(
             200,
-            ((b'content-type', b'text/plain'),),
-            ''.join(lines).encode(),
+            ((b'content-type', CONTENT_TYPE),),
+            render_metrics(self._board.metrics),
         )
 
     async def _run(
@@ -171,31 +172,48 @@
             - REPLY_MARGIN_S,
         )
         outcome = await self._dispatcher.run(course)
-        took_s = board.clock() - received.received_at
+        self._explain(course, outcome, board.clock() - received.received_at)
+        return build_reply(outcome)
+
+    def _explain(
+        self,
+        course: Course,
+        outcome: CourseOutcome,
+        took_s: float,
+    ) -> None:
+        metrics = self._board.metrics
+        service = course.request.service
         match outcome:
             case NotRun(reason=reason) | Unknown(reason=reason):
-                board.metrics.count_refusal(reason)
+                shown = 'unknown' if isinstance(outcome, Unknown) else 'not_run'
+                metrics.count_refusal(reason)
                 log_event(
                     'request_failed',
-                    request=request_id,
+                    request=course.request.request_id,
                     service=service,
                     reason=reason.value,
                     sends=course.sends,
                     took_ms=round(took_s * _MILLISECONDS),
                 )
             case Answered(server_id=server_id):
-                board.metrics.count('request.answered')
-                if took_s > route.target_latency_s:
-                    board.metrics.count('request.late')
+                shown = 'answered'
+                metrics.count('request.answered')
+                if took_s > course.route.target_latency_s:
+                    metrics.count('request.late')
                     log_event(
                         'request_late',
-                        request=request_id,
+                        request=course.request.request_id,
                         service=service,
                         server=server_id,
                         sends=course.sends,
                         took_ms=round(took_s * _MILLISECONDS),
                     )
-        return build_reply(outcome)
+            case _:
+                shown = 'streamed'
+        metrics.time(
+            name_with('request.took', service=service, outcome=shown),
+            took_s,
+        )
 
     def _list_addresses(self, domain: str) -> list[str]:
         board = self._board
--- /dev/null
+++ b/copperyard/entry_gauges.py
@@ -0,0 +1,40 @@
+"""Readings of an entry's state at the moment they are asked for."""
+
+from collections import Counter
+
+from copperyard.entry_board import EntryBoard
+from copperyard.knowledge import Knowledge
+from copperyard.metrics_text import name_with
+
+
+def update_gauges(board: EntryBoard, knowledge: Knowledge) -> None:
+    """Read the gauges of an entry.
+
+    :param board: gets the readings, in its metrics.
+    :param knowledge: knows the ages of what was read.
+    """
+    now = board.clock()
+    metrics = board.metrics
+    metrics.gauge('entry.neighbours', len(board.entry_ips) - 1)
+    metrics.gauge('entry.is_ready', board.is_ready)
+    metrics.gauge('operator.age_s', now - knowledge.operator_read_at)
+    metrics.gauge('servers.age_s', now - knowledge.servers_read_at)
+    if board.routes is not None:
+        metrics.gauge('configuration.version', board.routes.version)
+    known = Counter(
+        server.report.service for server in board.table.servers_by_id.values()
+    )
+    in_flight: Counter[str] = Counter()
+    for server in board.table.servers_by_id.values():
+        load = board.find_load(server)
+        in_flight[server.report.service] += load.in_flight
+    for service, servers in known.items():
+        metrics.gauge(name_with('servers.known', service=service), servers)
+        metrics.gauge(
+            name_with('attempts.in_flight', service=service),
+            in_flight[service],
+        )
+        metrics.gauge(
+            name_with('repeats.left', service=service),
+            board.find_budget(service).find_left(now, len(board.entry_ips)),
+        )
--- a/copperyard/metrics.py
+++ b/copperyard/metrics.py
@@ -1,10 +1,11 @@
 """Counters, timers and gauges, sent by statsd and readable in the process."""
 
-from collections import Counter
+from collections import Counter, defaultdict
 from typing import Final
 
 from statsd import StatsClient
 
+from copperyard.latency_histograms import LatencyHistogram
 from copperyard.outcomes import RefusalReason, RetryReason, UnknownReason
 
 MILLISECONDS: Final = 1000.0
@@ -18,6 +19,10 @@
 
     def __init__(self, client: StatsClient | None = None) -> None:
         self.counts_by_name: Counter[str] = Counter()
+        self.histograms_by_name: dict[str, LatencyHistogram] = defaultdict(
+            LatencyHistogram,
+        )
+        self.gauges_by_name: dict[str, float] = {}
         self._client = client
 
     def count(self, name: str, amount: int = 1) -> None:
@@ -44,11 +49,13 @@
         :param name: dotted timer name without the prefix.
         :param seconds: duration; statsd gets milliseconds.
         """
+        self.histograms_by_name[name].record(seconds)
         if self._client is not None:
             self._client.timing(name, seconds * MILLISECONDS)
 
     def gauge(self, name: str, reading: float) -> None:
         """Record a current reading."""
+        self.gauges_by_name[name] = reading
         if self._client is not None:
             self._client.gauge(name, reading)
 
--- a/copperyard/repeat_budget.py
+++ b/copperyard/repeat_budget.py
@@ -42,14 +42,22 @@
         :param entries: entries that share the budget.
         :returns: whether it may be sent.
         """
+        if self.find_left(now, entries) < 1:
+            return False
+        self._parts[-1][1] += 1
+        return True
+
+    def find_left(self, now: float, entries: int) -> float:
+        """Return how many repeats may be sent now.
+
+        :param now: ``CLOCK_BOOTTIME`` in seconds.
+        :param entries: entries that share the budget.
+        """
         self._turn(now)
         requests = sum(part[0] for part in self._parts)
         repeats = sum(part[1] for part in self._parts)
         allowed = self.ratio * requests + self.slack / max(1, entries)
-        if repeats + 1 > USED_SHARE * allowed:
-            return False
-        self._parts[-1][1] += 1
-        return True
+        return USED_SHARE * allowed - repeats
 
     def _turn(self, now: float) -> None:
         number = int(now / self._part_s)
--- /dev/null
+++ b/tests/test_metrics_text.py
@@ -0,0 +1,69 @@
+"""Metrics as text, and the readings of an entry."""
+
+from random import Random
+
+from copperyard.entry_gauges import update_gauges
+from copperyard.knowledge import Knowledge
+from copperyard.metrics import Metrics
+from copperyard.metrics_text import name_with, render_metrics
+from tests.entry_builders import build_board
+
+
+def read(metrics):
+    """Return the rendered readings by their name."""
+    lines = render_metrics(metrics).decode().splitlines()
+    return {
+        name: float(text)
+        for name, _, text in (line.rpartition(' ') for line in lines)
+    }
+
+
+def test_counters_and_gauges():
+    """Dots become underscores; labels stay."""
+    metrics = Metrics()
+    metrics.count('request.late', 3)
+    metrics.gauge(name_with('servers.known', service='l"x'), 2)
+    assert read(metrics) == {
+        'request_late': 3,
+        'servers_known{service="l\\"x"}': 2,
+    }
+
+
+def test_histogram_counts_up_to_each_bound():
+    """Buckets are cumulative, and the last one holds all."""
+    metrics = Metrics()
+    random = Random(3)
+    durations = [random.uniform(0, 8) for _ in range(200)]
+    name = name_with('request.took', service='ledger', outcome='answered')
+    for seconds in durations:
+        metrics.time(name, seconds)
+    found = read(metrics)
+    labels = 'outcome="answered",service="ledger"'
+    for bound in (0.1, 0.2, 1.0, 5.0):
+        within = sum(seconds <= bound for seconds in durations)
+        bucket = f'request_took_seconds_bucket{{{labels},le="{bound}"}}'
+        assert found[bucket] == within
+    bucket = f'request_took_seconds_bucket{{{labels},le="+Inf"}}'
+    assert found[bucket] == 200
+    assert found[f'request_took_seconds_count{{{labels}}}'] == 200
+    assert abs(
+        found[f'request_took_seconds_sum{{{labels}}}'] - sum(durations)
+    ) < (0.001)
+
+
+def test_gauges_of_an_entry():
+    """Budget, requests in flight and ages are read when they are asked for."""
+    board = build_board('s1', 's2')
+    knowledge = Knowledge(board, lambda records: None)
+    knowledge.servers_read_at = board.clock() - 0.4
+    knowledge.operator_read_at = board.clock() - 2
+    board.note_sent('s1', board.loads_by_id['s1'])
+    board.find_budget('ledger').take(board.clock(), 1)
+    update_gauges(board, knowledge)
+    found = read(board.metrics)
+    assert found['servers_known{service="ledger"}'] == 2
+    assert found['attempts_in_flight{service="ledger"}'] == 1
+    assert found['repeats_left{service="ledger"}'] == 42.5
+    assert found['servers_age_s'] == 0.4
+    assert found['operator_age_s'] == 2
+    assert found['entry_is_ready'] == 1
