--- a/copperyard/picking.py
+++ b/copperyard/picking.py
@@ -35,8 +35,10 @@
 FULL_RETRY_S: Final = 0.1
 RETRY_SPREAD: Final = (0.5, 1.5)
 ROOM_LOOK_S: Final = 0.005
-# An answer from another failure domain costs bytes between them.
-FAR_COST: Final = 1.25
+# A server in another failure domain is taken when those nearby are full or
+# slowed: its answers cost bytes between them, and what its other callers send
+# is not told here.
+FAR_COST: Final = 2.5
 # A server without an idle connection costs another one, which holds one of its
 # slots for about 1 ms.
 CONNECT_COST: Final = 1.1
--- a/tests/test_picking.py
+++ b/tests/test_picking.py
@@ -326,6 +326,31 @@
     assert max(picks.values()) <= 6
 
 
+@pytest.mark.parametrize(
+    ('near', 'chosen'),
+    [
+        (LoadSample(2, 4, 1.0), 'near'),
+        (LoadSample(3, 4, 1.0), 'near'),
+        (LoadSample(0, 4, 5.0), 'far'),
+        (LoadSample(4, 4, 1.0), 'far'),
+    ],
+    ids=['half-full', 'last-slot', 'slowed', 'full'],
+)
+async def test_near_servers_first(near, chosen):
+    """A domain's callers use its servers, and others when they lack room.
+
+    Load that differs between failure domains flows over only then.
+    """
+    board = build_board('near')
+    report = build_report('far', failure_domain='b')
+    board.table.apply(report, board.clock())
+    age(board)
+    samples = {'near': near, 'far': LoadSample(0, 4, 1.0)}
+    picker, _ = build_picker(board, samples)
+    picked = await picker.pick('ledger', (), Need())
+    assert picked.report.server_id == chosen
+
+
 async def test_idle_connections_are_used_first():
     """Of equal servers, one that needs no new connection is taken."""
     ids = [f's{number}' for number in range(8)]
