Scenarios on the users' platform; let servers that join get work

The first runs of one showed that an entry at a low load kept to the server it had a connection to: of three failing servers none got a request, nor would one that joins. Ruled out: a smaller cost of a connection (any preference starves at a low load). Now: a cell may be a platform cell; its harness runs entries as processes against the stand-ins of the store and of the servers, callers look up and connect as the users' pages say. A twentieth of the picks disregards connections.

--- a/copperyard/picking.py
+++ b/copperyard/picking.py
@@ -15,6 +15,9 @@
 
 # A server that costs no more than this is taken without asking others.
 GOOD_COST: Final = 1.25
+# In this share of the picks, servers without a connection count as any other:
+# one that has just joined gets work, and its answers are known.
+EXPLORING_SHARE: Final = 0.05
 # Servers whose weights differ by less are equally good.
 EQUAL_SHARE: Final = 1.05
 # Servers asked at a time, and how often others are asked if none is good.
@@ -91,12 +94,14 @@
     :param service: name of the service.
     :param excluded: ids of servers that have had the request.
     :param need: how much the request needs a server.
+    :param is_exploring: whether a new connection costs nothing.
     :param asked: ids of servers that have been asked for it.
     """
 
     service: str
     excluded: Collection[str] = ()
     need: Need = field(default_factory=Need)
+    is_exploring: bool = False
     asked: set[str] = field(default_factory=set)
 
 
@@ -134,7 +139,8 @@
         :param need: how much the request needs a server.
         :returns: the server, or why there is none.
         """
-        search = _Search(service, excluded, need)
+        is_exploring = self._random.random() < EXPLORING_SHARE
+        search = _Search(service, excluded, need, is_exploring)
         waits_until = self._board.clock() + need.wait_s
         for asks in range(PROBE_ROUNDS):
             candidates = self._list(search)
@@ -227,7 +233,8 @@
         cost = weight = load.estimate_cost(now)
         if known.report.failure_domain != self._board.settings.failure_domain:
             weight *= FAR_COST
-        if not self._has_connection(known.report.server_id):
+        is_connected = self._has_connection(known.report.server_id)
+        if not (is_connected or search.is_exploring):
             weight *= CONNECT_COST
         is_fresh = load.is_fresh(now, has_one_send=search.need.has_one_send)
         return Candidate(known, load, cost, weight, is_fresh)
--- /dev/null
+++ b/tests/entry_processes.py
@@ -0,0 +1,129 @@
+"""Entry programs as processes on loopback addresses of their own."""
+
+import asyncio
+import json
+import os
+import subprocess
+import sys
+import time
+from contextlib import asynccontextmanager
+
+from tests.http_client import HttpClient
+
+CALLERS, READINESS, LOOKUP, ENTRIES = 18161, 18167, 18164, 17720
+SETTINGS = """
+node-name = "{ip}"
+ip = "{ip}"
+zone = "{zone}"
+internal-port-range = [{entries}, 17735]
+seeds = ["127.0.0.21:1"]
+[listen]
+edge-address = "{ip}:{callers}"
+readiness = "{ip}:{readiness}"
+registry = "{ip}:{lookup}"
+[limits]
+max-fds = 4100
+[bounds]
+grace-s = 3
+retry-budget-ratio = 0.2
+budget-slack = 58
+budget-window-s = 10
+warmup-overage = 1.5
+warmup-slack = 5
+ttl_max_s = 5
+[platform]
+address = "{store}"
+"""
+
+
+class Entry:
+    """An entry process and calls to it."""
+
+    def __init__(self, ip, folder, store, zone='a'):
+        self.ip = ip
+        self.client = HttpClient()
+        self._path = folder / f'{ip}.toml'
+        self._path.write_text(
+            SETTINGS.format(
+                ip=ip,
+                zone=zone,
+                store=store,
+                entries=ENTRIES,
+                callers=CALLERS,
+                readiness=READINESS,
+                lookup=LOOKUP,
+            ),
+        )
+        self.process = subprocess.Popen(
+            [sys.executable, '-m', 'copperyard.entry'],
+            env={**os.environ, 'COPPERYARD_CONFIG': str(self._path)},
+            stdout=(folder / f'{ip}.log').open('wb'),
+            stderr=subprocess.STDOUT,
+        )
+
+    async def ask(self, port, target, **options):
+        """Send one request; None if there is no answer."""
+        try:
+            return await self.client.send(
+                f'{self.ip}:{port}',
+                options.pop('method', 'GET'),
+                target,
+                options.pop('headers', None),
+            )
+        except (OSError, EOFError):
+            return None
+
+    async def request(self, request_id, target='/read/x', **options):
+        """Send a caller's request."""
+        headers = {
+            'Host': 'h.example',
+            'X-Request-Id': request_id,
+            'X-Deadline-Ms': '900',
+        }
+        reader, writer = await asyncio.open_connection(self.ip, CALLERS)
+        method = options.get('method', 'GET')
+        lines = [f'{name}: {text}' for name, text in headers.items()]
+        lines.append('Connection: close')
+        start = f'{method} {target} HTTP/1.1'
+        writer.write('\r\n'.join([start, *lines, '', '']).encode())
+        content = await reader.read()
+        writer.close()
+        return content
+
+    async def is_ready(self):
+        """Return whether the readiness check passes."""
+        answer = await self.ask(READINESS, '/copperyard/readiness')
+        return answer is not None and answer.status == 200
+
+    async def lookup(self, zone='a'):
+        """Return the addresses named to a caller."""
+        target = f'/copperyard/lookup?name=h.example&region=r&zone={zone}'
+        answer = await self.ask(LOOKUP, target)
+        if answer is None or answer.status != 200:
+            return set()
+        addresses = json.loads(answer.body)['addresses']
+        return {address.partition(':')[0] for address in addresses}
+
+
+async def until(condition, within_s):
+    """Wait for a condition; return whether it came to hold."""
+    ends = time.monotonic() + within_s
+    while time.monotonic() < ends:
+        if await condition():
+            return True
+        await asyncio.sleep(0.05)
+    return False
+
+
+@asynccontextmanager
+async def entries(folder, store, *ips):
+    """Run entries until the end of the test."""
+    started = [Entry(ip, folder, store) for ip in ips]
+    try:
+        for entry in started:
+            assert await until(entry.is_ready, 15)
+        yield started
+    finally:
+        for entry in started:
+            entry.process.kill()
+            entry.process.wait()
--- a/tests/scenarios/checker.py
+++ b/tests/scenarios/checker.py
@@ -125,6 +125,20 @@
         yield from _find_overloads(history, server, signals)
 
 
+def check_cold_rate(history: History, expected: Expectation) -> Iterator[str]:
+    """No second contains more requests for a cold server than it bears."""
+    for server in history.servers:
+        starts = sorted(
+            run.started
+            for run in _pick(history, Run)
+            if run.server == server and run.cold
+        )
+        for index, start in enumerate(starts):
+            within = sum(start <= at < start + 1 for at in starts[index:])
+            if within > expected.count:
+                yield f'{within} requests at cold server {server} from {start}'
+
+
 def check_probe_budget(history: History, _: Expectation) -> Iterator[str]:
     """No minute contains more probes of a server than its budget."""
     for server, samples in _group_samples(history).items():
@@ -271,6 +285,7 @@
     'truthful': check_truthful,
     'own_answer': check_own_answer,
     'cold_start': check_cold_start,
+    'cold_rate': check_cold_rate,
     'probe_budget': check_probe_budget,
     'domain_quiet': check_quiet,
     'server_quiet': check_quiet,
--- a/tests/standins/platform.py
+++ b/tests/standins/platform.py
@@ -13,6 +13,8 @@
 from dataclasses import dataclass, field
 from urllib.parse import parse_qs, urlsplit
 
+from tests.http_client import boot_now
+
 LOOPBACK = '127.0.0.1'
 
 
@@ -201,6 +203,7 @@
     :param server_id: its id.
     :param work_s: time that a request takes.
     :param slowness: fourth figure of its load report.
+    :param is_silent: takes requests and never answers.
     """
 
     def __init__(self, server_id, work_s=0.01, slowness=100):
@@ -209,6 +212,8 @@
         self.slowness = slowness
         self.cold_ms = 0
         self.sheds = False
+        self.is_silent = False
+        self.runs = []
         self.address = ''
         self.running = 0
         self.ran = []
@@ -237,10 +242,16 @@
         request_id = request.headers['x-request-id']
         self.running += 1
         self.ran.append(request_id)
+        run = {'request_id': request_id, 'started': boot_now(), 'ended': None}
+        self.runs.append({**run, 'cold': bool(self.cold_ms)})
+        place = len(self.runs) - 1
         try:
+            while self.is_silent:
+                await asyncio.sleep(0.05)
             await asyncio.sleep(self.work_s * self.slowness / 100)
         finally:
             self.running -= 1
+            self.runs[place]['ended'] = boot_now()
         if self.broken_answers:
             return Answer(raw=self.broken_answers.pop(0))
         headers = {
--- a/tests/test_checker.py
+++ b/tests/test_checker.py
@@ -86,6 +86,7 @@
 
 
 _TERMS = {
+    'cold_rate': {'count': 2},
     'domain_quiet': {'domain': 'cl-a', 'bound': 3.0},
     'server_quiet': {'server': 1, 'bound': 3.0},
     'in_force': {'bound': 3.0},
@@ -132,6 +133,10 @@
         WentCold(1, 10.0),
         *_cold((10.0, 10.1), (11.0, 12.0), (11.1, 12.0), (11.2, 12.0)),
     ),
+    'too many for a cold server in one second': (
+        'cold_rate',
+        *_cold((10.0, 10.1), (10.5, 10.6), (10.9, 11.0)),
+    ),
     'cold server overloaded': ('cold_start', *_overloads(0, 1)),
     'overloaded twice after one cold start': (
         'cold_start',
@@ -294,6 +299,10 @@
         WentCold(1, 10.0),
         *_cold((10.1, 10.5), (10.2, 10.5), (10.3, 10.5), (10.7, 10.8)),
     ),
+    'three for a cold server in more than a second': (
+        'cold_rate',
+        *_cold((10.0, 10.1), (10.5, 10.6), (11.1, 11.2)),
+    ),
     'one overload before any sign of a cold start': (
         'cold_start',
         WentCold(1, 10.5),
