Order by priority; forget departed servers; rank cold senders once

A route's priority decides which requests of a service may take the last slot of a server; where all are equal, those that cannot be repeated do, as before. Leaving servers are looked for among those that leave, not among all, at each pick. The rank of an entry for a cold server is computed once for each set of entries (0.4 ms at 142 entries, at each pick before). What is known of a route's work goes with the route.

--- a/copperyard/cold_allowance.py
+++ b/copperyard/cold_allowance.py
@@ -1,6 +1,6 @@
 """The share of a cold server's allowance that one entry may use."""
 
-from collections.abc import Collection
+from functools import lru_cache
 from typing import Final
 
 from copperyard.rendezvous import rank_members
@@ -11,10 +11,13 @@
 COLD_PAUSE_S: Final = 1.1
 
 
+# Answers kept: one for each server that is cold now, with room for changes of
+# the entries.
+@lru_cache(maxsize=4096)
 def is_cold_sender(
     server_id: str,
     own_ip: str,
-    entry_ips: Collection[str],
+    entry_ips: frozenset[str],
     cold_per_s: float,
 ) -> bool:
     """Return whether this entry may send to a cold server at all.
--- a/copperyard/dispatching.py
+++ b/copperyard/dispatching.py
@@ -37,7 +37,7 @@
 # A request waits this share of its target latency for a server with room; one
 # that is refused later is refused too late to come back in time.
 WAIT_SHARE: Final = 0.1
-# Requests that cannot be repeated may take the last slots of a server.
+# The most urgent requests of a service may take the last slots of a server.
 URGENT_EXTRA_ROOM: Final = 1
 # With less time left, an answer cannot arrive.
 LEAST_LEFT_S: Final = 0.005
@@ -173,8 +173,10 @@
             return Need(is_spare=True)
         route = course.route
         work_time = self._board.find_work_time(route)
+        routes = self._board.routes
+        is_urgent = routes is not None and routes.is_urgent(route)
         return Need(
-            extra_room=0 if route.is_idempotent else URGENT_EXTRA_ROOM,
+            extra_room=URGENT_EXTRA_ROOM if is_urgent else 0,
             wait_s=WAIT_SHARE * route.target_latency_s,
             has_one_send=not route.is_idempotent or route.max_attempts < 2,
             slowness_max=work_time.find_slowness_max(route.target_latency_s),
--- a/copperyard/entry_board.py
+++ b/copperyard/entry_board.py
@@ -79,6 +79,16 @@
             budget.ratio = bounds.repeat_ratio
             budget.slack = bounds.repeat_slack
 
+    def replace_routes(self, routes: RouteTable) -> None:
+        """Put a configuration in force.
+
+        :param routes: what is known of other routes' work is dropped.
+        """
+        self.routes = routes
+        names = {route.name for route in routes.list_routes()}
+        for name in set(self._work_times_by_route) - names:
+            self._work_times_by_route.pop(name)
+
     def find_terms(self, service: str) -> ServiceTerms | None:
         """Return what the operator declares of a service."""
         if self.routes is None:
--- a/copperyard/knowledge.py
+++ b/copperyard/knowledge.py
@@ -198,7 +198,7 @@
         match change:
             case ConfigurationChange(table=table):
                 if board.routes is None or table.version > board.routes.version:
-                    board.routes = table
+                    board.replace_routes(table)
                     log_event(
                         'configuration_in_force',
                         version=table.version,
--- a/copperyard/server_table.py
+++ b/copperyard/server_table.py
@@ -1,5 +1,6 @@
 """Backend servers as they report themselves, in the order of their reports."""
 
+from collections import deque
 from dataclasses import dataclass, replace
 from typing import Final, TypeAlias
 
@@ -9,6 +10,9 @@
 LAPSE_HOLD_S: Final = 2.3
 # Reads further apart than this count as an outage of the store.
 OUTAGE_S: Final = 1.5
+# The order of a departed server's reports is kept for longer than any datagram
+# or read that names it may be under way.
+REMEMBER_S: Final = 60.0
 
 
 class ServerReport(msgspec.Struct, frozen=True, array_like=True, tag='report'):
@@ -82,6 +86,9 @@
         self._offsets_by_id: dict[str, int] = {}
         # Everything before this offset that still counts has been applied.
         self._complete_before = 0
+        self._leaving_ids: set[str] = set()
+        # Departed servers by the time of their departure, oldest first.
+        self._departed: deque[tuple[float, str]] = deque()
         self._holds_until = 0.0
         self._read_at: float | None = None
 
@@ -131,6 +138,10 @@
                 self._remove(server_id, now)
         self._complete_before = max(self._complete_before, end)
 
+    def count_remembered(self) -> int:
+        """Return of how many servers the order of reports is kept."""
+        return len(self._offsets_by_id)
+
     def drop_departed(self, now: float) -> list[str]:
         """Forget servers whose time to leave has come.
 
@@ -139,14 +150,24 @@
         """
         departed = [
             server_id
-            for server_id, known in self.servers_by_id.items()
-            if known.leaves_at is not None and known.leaves_at <= now
+            for server_id in self._leaving_ids
+            if (self.servers_by_id[server_id].leaves_at or 0) <= now
         ]
         for server_id in departed:
+            self._leaving_ids.discard(server_id)
             self.servers_by_id.pop(server_id)
+            self._departed.append((now, server_id))
             self.version += 1
+        self._forget_departed(now)
         return departed
 
+    def _forget_departed(self, now: float) -> None:
+        while self._departed and self._departed[0][0] < now - REMEMBER_S:
+            _, server_id = self._departed.popleft()
+            if server_id not in self.servers_by_id:
+                self._offsets_by_id.pop(server_id, None)
+                self._newest_by_id.pop(server_id, None)
+
     def _put(self, report: ServerReport, now: float) -> bool:
         known = self.servers_by_id.get(report.server_id)
         cold_until = 0.0
@@ -157,6 +178,7 @@
             is_changed = known.leaves_at is not None
         else:
             is_changed = True
+        self._leaving_ids.discard(report.server_id)
         self.servers_by_id[report.server_id] = KnownServer(report, cold_until)
         self.version += 1
         return is_changed
@@ -168,6 +190,7 @@
         leaves_at = now
         if not known.report.is_draining:
             leaves_at = max(now, self._holds_until)
+        self._leaving_ids.add(server_id)
         self.servers_by_id[server_id] = replace(known, leaves_at=leaves_at)
         self.version += 1
         return True
--- a/tests/test_cold_allowance.py
+++ b/tests/test_cold_allowance.py
@@ -12,7 +12,7 @@
 @pytest.mark.parametrize('cold_per_s', [14.0, 15.0])
 def test_senders_are_bounded(entries, cold_per_s):
     """At most as many entries send as the server bears requests a second."""
-    ips = [f'10.0.0.{number}' for number in range(entries)]
+    ips = frozenset(f'10.0.0.{number}' for number in range(entries))
     senders = sum(is_cold_sender('s', ip, ips, cold_per_s) for ip in ips)
     assert senders == min(entries, int(cold_per_s))
 
@@ -20,7 +20,7 @@
 def test_entries_cut_from_each_other_stay_within_the_bound():
     """Two halves that do not see each other choose senders each for itself."""
     ips = [f'10.0.0.{number}' for number in range(18)]
-    halves = (ips[:9], ips[9:])
+    halves = (frozenset(ips[:9]), frozenset(ips[9:]))
     senders = sum(
         is_cold_sender('s', ip, half, 14.0) for half in halves for ip in half
     )
--- a/tests/test_server_table.py
+++ b/tests/test_server_table.py
@@ -1,6 +1,11 @@
 """Order of reports, lapses and restarts of backend servers."""
 
-from copperyard.server_table import LAPSE_HOLD_S, ServerGone, ServerTable
+from copperyard.server_table import (
+    LAPSE_HOLD_S,
+    REMEMBER_S,
+    ServerGone,
+    ServerTable,
+)
 from tests.entry_builders import build_report
 
 
@@ -98,3 +103,27 @@
     """A heartbeat without news is not passed on."""
     table = build_table(build_report('s'))
     assert not table.apply(build_report('s', sequence=2), 10.0)
+
+
+def test_departed_servers_are_forgotten_after_a_while():
+    """Thousands of servers come and go each day under new ids."""
+    table = build_table(build_report('s'))
+    for number in range(100):
+        now = 10.0 + number
+        table.apply(build_report(f'n{number}', offset=2 * number + 5), now)
+        table.apply(ServerGone(f'n{number}', 2 * number + 6), now)
+        table.drop_departed(now)
+    table.drop_departed(10.0 + 100 + REMEMBER_S)
+    assert set(table.servers_by_id) == {'s'}
+    assert table.count_remembered() == 1
+
+
+def test_server_that_returns_is_not_forgotten():
+    """Its new entry came before the old one was forgotten."""
+    table = build_table(build_report('s'))
+    table.apply(ServerGone('s', 5), 10.0)
+    assert table.drop_departed(10.0) == ['s']
+    table.apply(build_report('s', started_ms=2, offset=6), 11.0)
+    table.drop_departed(10.0 + 2 * REMEMBER_S)
+    assert not table.apply(build_report('s', offset=6), 12.0)
+    assert 's' in table.servers_by_id
