--- a/copperyard/dispatching.py
+++ b/copperyard/dispatching.py
@@ -119,7 +119,9 @@
         :returns: an answer of a server, or why there is none.
         """
         now = self._board.clock()
-        self._board.find_budget(course.request.service).count_request(now)
+        service = course.request.service
+        self._board.find_budget(service).count_request(now)
+        self._board.find_priorities(service).record(course.route.priority, now)
         with anyio.move_on_after(course.ends_at - now):
             async with anyio.create_task_group() as group:
                 group.start_soon(self._hedge, course, group)
@@ -173,8 +175,11 @@
             return Need(is_spare=True)
         route = course.route
         work_time = self._board.find_work_time(route)
-        routes = self._board.routes
-        is_urgent = routes is not None and routes.is_urgent(route)
+        mix = self._board.find_priorities(course.request.service)
+        is_urgent = mix.is_urgent(
+            route.priority,
+            is_idempotent=route.is_idempotent,
+        )
         return Need(
             extra_room=URGENT_EXTRA_ROOM if is_urgent else 0,
             wait_s=WAIT_SHARE * route.target_latency_s,
--- a/copperyard/entry_board.py
+++ b/copperyard/entry_board.py
@@ -15,6 +15,7 @@
 from copperyard.routes import Route, RouteTable, ServiceTerms
 from copperyard.server_loads import LoadSample, ServerLoad
 from copperyard.server_table import KnownServer, ServerTable
+from copperyard.urgency import PriorityMix
 from copperyard.work_times import WorkTime
 
 
@@ -59,6 +60,9 @@
     _crowding_by_service: dict[str, CrowdingEstimate] = field(
         default_factory=dict,
     )
+    _priorities_by_service: dict[str, PriorityMix] = field(
+        default_factory=dict,
+    )
     _work_times_by_route: dict[str, WorkTime] = field(default_factory=dict)
 
     @property
@@ -116,6 +120,13 @@
             self._crowding_by_service[service] = estimate
         return estimate
 
+    def find_priorities(self, service: str) -> PriorityMix:
+        """Return the priorities of a service's recent requests."""
+        mix = self._priorities_by_service.get(service)
+        if mix is None:
+            mix = self._priorities_by_service[service] = PriorityMix()
+        return mix
+
     def find_work_time(self, route: Route) -> WorkTime:
         """Return what is known of the work of a route's requests."""
         work_time = self._work_times_by_route.get(route.name)
--- a/copperyard/routes.py
+++ b/copperyard/routes.py
@@ -109,7 +109,6 @@
         for route in routes:
             by_host[route.host][route.prefix] = route
         self._routes_by_prefix_by_host = dict(by_host)
-        self._priorities_by_service = _list_priorities(self.list_routes())
 
     def list_routes(self) -> list[Route]:
         """Return all routes."""
@@ -119,19 +118,6 @@
             for route in routes_by_prefix.values()
         ]
 
-    def is_urgent(self, route: Route) -> bool:
-        """Return whether a route goes before others of its services.
-
-        Where all have the same priority, what cannot be repeated does.
-
-        :param route: a route of this or of the former configuration.
-        """
-        for part in route.parts:
-            priorities = self._priorities_by_service.get(part.service, ())
-            if len(priorities) > 1:
-                return route.priority <= min(priorities)
-        return not route.is_idempotent
-
     def find(self, host: str, path: str) -> Route | None:
         """Return the route with the longest prefix that begins the path.
 
@@ -148,11 +134,3 @@
                 return route
             end = path.rfind('/', 0, end)
         return None
-
-
-def _list_priorities(routes: Iterable[Route]) -> dict[str, set[int]]:
-    priorities_by_service: dict[str, set[int]] = defaultdict(set)
-    for route in routes:
-        for part in route.parts:
-            priorities_by_service[part.service].add(route.priority)
-    return dict(priorities_by_service)
