--- a/copperyard/caller_connections.py
+++ b/copperyard/caller_connections.py
@@ -183,12 +183,15 @@
     :param find_limits: returns the bounds in force.
     :param is_closing: returns whether replies should end the connection.
     :param clock: ``CLOCK_BOOTTIME`` in seconds.
+    :param note_refusal: called for a request that was refused while it was
+        read.
     """
 
     handle: Handler
     find_limits: Callable[[], RequestLimits]
     is_closing: Callable[[], bool]
     clock: Callable[[], float]
+    note_refusal: Callable[[RefusalReason], None]
 
 
 class CallerConnection:
@@ -301,6 +304,7 @@
     def _refuse(self, fault: RefusalReason) -> None:
         slot = _Slot(is_head=False, is_kept=False)
         slot.finish(build_reply(NotRun(fault)))
+        self._terms.note_refusal(fault)
         self._append(slot)
 
     def _append(self, slot: _Slot) -> None:
--- a/copperyard/entry_api.py
+++ b/copperyard/entry_api.py
@@ -89,17 +89,26 @@
         host = texts[b'host'].decode('latin-1').rpartition(':')
         routes = self._board.routes
         if routes is None or not self._board.has_servers:
-            return build_reply(
+            return self._refuse(
+                texts,
                 NotRun(RefusalReason.NOT_READY, NOT_READY_RETRY_S),
             )
         name = (host[0] or host[2]).lower()
         route = routes.find(name, path)
         if route is None:
-            return build_reply(NotRun(RefusalReason.UNKNOWN_SERVICE))
+            return self._refuse(texts, NotRun(RefusalReason.UNKNOWN_SERVICE))
         if REQUEST_ID not in texts:
-            return build_reply(NotRun(RefusalReason.BAD_REQUEST))
+            return self._refuse(texts, NotRun(RefusalReason.BAD_REQUEST))
         return await self._run(received, texts, route)
 
+    def note_unread(self, reason: RefusalReason) -> None:
+        """Count and log a request that was refused while it was read.
+
+        :param reason: what was wrong with it.
+        """
+        self._board.metrics.count_refusal(reason)
+        log_event('request_unread', reason=reason.value)
+
     async def serve_lookup(self, received: ReceivedRequest) -> Reply:
         """Tell a caller where to connect.
 
@@ -146,6 +155,18 @@
             render_metrics(self._board.metrics),
         )
 
+    def _refuse(self, texts: dict[bytes, bytes], refusal: NotRun) -> Reply:
+        self._board.metrics.count_refusal(refusal.reason)
+        log_event(
+            'request_failed',
+            request=texts.get(REQUEST_ID, b'').decode('latin-1'),
+            service='',
+            reason=refusal.reason.value,
+            sends=0,
+            configuration=self._find_version(),
+        )
+        return build_reply(refusal)
+
     async def _run(
         self,
         received: ReceivedRequest,
@@ -192,7 +213,9 @@
                     request=course.request.request_id,
                     service=service,
                     reason=reason.value,
+                    detail=outcome.detail,
                     sends=course.sends,
+                    configuration=self._find_version(),
                     took_ms=round(took_s * _MILLISECONDS),
                 )
             case Answered(server_id=server_id):
@@ -215,6 +238,9 @@
             took_s,
         )
 
+    def _find_version(self) -> int:
+        return 0 if self._board.routes is None else self._board.routes.version
+
     def _list_addresses(self, domain: str) -> list[str]:
         board = self._board
         now = board.clock()
--- a/copperyard/picking.py
+++ b/copperyard/picking.py
@@ -10,6 +10,7 @@
 from copperyard.entry_board import EntryBoard
 from copperyard.load_probing import LoadProber, Probe
 from copperyard.outcomes import NotRun, RefusalReason
+from copperyard.requests import MILLISECONDS_PER_S
 from copperyard.server_loads import ServerLoad
 from copperyard.server_table import KnownServer
 
@@ -175,12 +176,20 @@
         while True:
             candidates = self._list(search)
             if not candidates:
-                return NotRun(RefusalReason.NO_SERVER, NO_SERVER_RETRY_S)
+                return NotRun(
+                    RefusalReason.NO_SERVER,
+                    NO_SERVER_RETRY_S,
+                    self._describe(search, candidates),
+                )
             found = self._find_room(search, candidates)
             if found is not None:
                 return found.known
             if self._board.clock() >= waits_until:
-                return NotRun(RefusalReason.NO_CAPACITY, self._spread_return())
+                return NotRun(
+                    RefusalReason.NO_CAPACITY,
+                    self._spread_return(),
+                    self._describe(search, candidates),
+                )
             await anyio.sleep(ROOM_LOOK_S)
 
     def _find_room(
@@ -210,6 +219,25 @@
             return None
         return best
 
+    def _describe(
+        self,
+        search: _Search,
+        candidates: Sequence[Candidate],
+    ) -> str:
+        now = self._board.clock()
+        known = len(self._board.list_servers(search.service, now))
+        if not candidates:
+            return f'0 of {known} servers usable'
+        loads = [candidate.load for candidate in candidates]
+        busy = sum(load.count_busy() for load in loads)
+        slots = sum(load.sample.slots for load in loads)
+        youngest = max(load.sampled_at for load in loads)
+        age_ms = round(MILLISECONDS_PER_S * (now - youngest))
+        return (
+            f'{len(loads)} of {known} servers usable, {busy} of {slots} slots '
+            f'busy, youngest report {age_ms} ms old'
+        )
+
     def _list(self, search: _Search) -> list[Candidate]:
         board = self._board
         now = board.clock()
--- a/tests/entry_processes.py
+++ b/tests/entry_processes.py
@@ -91,7 +91,11 @@
         return content
 
     async def is_ready(self):
-        """Return whether the readiness check passes."""
+        """Return whether the readiness check passes.
+
+        Another process may hold the address; then this one has ended.
+        """
+        assert self.process.poll() is None, 'the entry has ended, see its log'
         answer = await self.ask(READINESS, '/copperyard/readiness')
         return answer is not None and answer.status == 200
 
--- a/tests/test_caller_connections.py
+++ b/tests/test_caller_connections.py
@@ -35,6 +35,7 @@
         self.seen = []
         self.began_at = []
         self.cancelled = []
+        self.refusals = []
         self.is_closing = False
         self.port = 0
 
@@ -64,6 +65,7 @@
         lambda: LIMITS,
         lambda: server.is_closing,
         boot_now,
+        server.refusals.append,
     )
     listener = await anyio.create_tcp_listener(
         local_host='127.0.0.1',
@@ -160,6 +162,7 @@
         assert answer.startswith(b'HTTP/1.1 ' + status)
         assert b'connection: close' in answer
         assert server.seen == []
+        assert len(server.refusals) == 1
 
 
 async def test_requests_before_a_faulty_one_are_answered():
