--- a/copperyard/neighbours.py
+++ b/copperyard/neighbours.py
@@ -38,6 +38,9 @@
 UNHEARD_TRIES_MAX: Final = 20
 # Load reports are collected for this time before they are sent.
 LOADS_EVERY_S: Final = 0.003
+# Neighbours that get each of these datagrams; in larger failure domains a few
+# are drawn each time, so that the cost for an entry does not grow with them.
+LOADS_TO_MAX: Final = 12
 
 _RECEIVE_BYTES: Final = 64 * 1024
 
@@ -176,6 +179,18 @@
 
     def _flush_loads(self) -> None:
         now = self._board.clock()
+        content = encode_message(self._take_news(now))
+        own = self._board.settings.failure_domain
+        near = [
+            neighbour.beat.ip
+            for neighbour in self.list_alive(now)
+            if neighbour.beat.failure_domain == own
+        ]
+        for ip in self._random.sample(near, min(LOADS_TO_MAX, len(near))):
+            self._send(ip, content)
+
+    def _take_news(self, now: float) -> LoadNews:
+        board = self._board
         reports = tuple(
             LoadReport(
                 server_id,
@@ -184,21 +199,14 @@
                 sample.slowness,
                 now - sampled_at,
             )
-            for server_id, (
-                sample,
-                sampled_at,
-            ) in self._board.unsent_samples.items()
+            for server_id, (sample, sampled_at) in board.unsent_samples.items()
         )
-        sent_ids = tuple(self._board.unsent_sends)
-        answers = _count_answers(self._board.unsent_answers)
-        self._board.unsent_samples.clear()
-        self._board.unsent_sends.clear()
-        self._board.unsent_answers.clear()
-        content = encode_message(LoadNews(reports, sent_ids, answers))
-        own = self._board.settings.failure_domain
-        for neighbour in self.list_alive(now):
-            if neighbour.beat.failure_domain == own:
-                self._send(neighbour.beat.ip, content)
+        sent_ids = tuple(board.unsent_sends)
+        answers = _count_answers(board.unsent_answers)
+        board.unsent_samples.clear()
+        board.unsent_sends.clear()
+        board.unsent_answers.clear()
+        return LoadNews(reports, sent_ids, answers)
 
     def _apply(self, message: Datagram) -> None:
         now = self._board.clock()
--- a/tests/test_neighbours.py
+++ b/tests/test_neighbours.py
@@ -7,8 +7,9 @@
 import pytest
 
 from copperyard.clock import boot_now
+from copperyard.entry_messages import Heartbeat
 from copperyard.knowledge import Knowledge
-from copperyard.neighbours import Neighbours
+from copperyard.neighbours import LOADS_TO_MAX, Neighbour, Neighbours
 from copperyard.server_loads import LoadSample
 from tests.entry_builders import build_board
 
@@ -103,3 +104,19 @@
             )
         failures = other.loads_by_id['s1'].failures
         await until(lambda: failures.find(boot_now()) > 0.3)
+
+
+@pytest.mark.parametrize(('entries', 'told'), [(6, 5), (36, LOADS_TO_MAX)])
+async def test_news_of_loads_do_not_grow_with_the_entries(entries, told):
+    """Each entry tells a bounded number of neighbours, others each time."""
+    board, neighbours = build_entry('127.0.0.31')
+    sent = []
+    neighbours._send = lambda ip, content: sent.append(ip)
+    for number in range(1, entries):
+        beat = Heartbeat(f'127.0.1.{number}', 'a', True, 0, 0.0)
+        neighbours.by_ip[beat.ip] = Neighbour(boot_now(), beat)
+    for _ in range(30):
+        board.note_sent('s1', board.loads_by_id['s1'])
+        neighbours._flush_loads()
+    assert len(sent) == 30 * told
+    assert len(set(sent)) == entries - 1
