--- a/tests/scenarios/callers.py
+++ b/tests/scenarios/callers.py
@@ -6,7 +6,7 @@
 import random
 from collections.abc import Callable
 from dataclasses import replace
-from typing import Any, Final
+from typing import Any, Final, Protocol
 
 from tests.http_client import BROKEN, Answer, HttpClient, boot_now
 from tests.scenarios.history import Call
@@ -204,12 +204,37 @@
     seconds: float,
     record: Callable[[Call], None],
 ) -> None:
-    """Send open-loop load: late answers do not delay the next request."""
-    plan: list[tuple[float, int, Caller]] = []
-    callers: list[Caller] = []
+    """Send the requests of the product's own callers."""
+    await play_streams(
+        streams,
+        seconds,
+        lambda name, stream: Caller(name, stream, entries_by_address, record),
+    )
+
+
+class Asking(Protocol):
+    """A caller of any interface."""
+
+    client: HttpClient
+
+    async def ask(self, number: int) -> None:
+        """Send one request."""
+
+
+async def play_streams(
+    streams: tuple[Stream, ...],
+    seconds: float,
+    build: Callable[[str, Stream], Asking],
+) -> None:
+    """Send open-loop load: late answers do not delay the next request.
+
+    :param build: builds a caller with a name and what it sends.
+    """
+    plan: list[tuple[float, int, Asking]] = []
+    callers: list[Asking] = []
     for place, stream in enumerate(streams):
         group = [
-            Caller(f'c{place}x{index}', stream, entries_by_address, record)
+            build(f'c{place}x{index}', stream)
             for index in range(stream.callers)
         ]
         callers.extend(group)
--- a/tests/scenarios/platform_callers.py
+++ b/tests/scenarios/platform_callers.py
@@ -8,6 +8,7 @@
 from typing import Final
 
 from tests.http_client import BROKEN, Answer, HttpClient, boot_now
+from tests.scenarios.callers import play_streams
 from tests.scenarios.history import Call
 from tests.scenarios.language import Scenario, Stream
 
@@ -146,32 +147,15 @@
     lookups: list[str],
     record: Callable[[Call], None],
 ) -> None:
-    """Send open-loop load: late answers do not delay the next request."""
-    plan: list[tuple[float, int, PlatformCaller]] = []
-    callers: list[PlatformCaller] = []
-    for place, stream in enumerate(scenario.streams):
-        group = [
-            PlatformCaller(
-                f'c{place}x{index}',
-                stream,
-                numbers_by_address,
-                lookups,
-                record,
-            )
-            for index in range(stream.callers)
-        ]
-        callers.extend(group)
-        for index in range(int(stream.rate * scenario.load_s)):
-            number = place * 1_000_000 + index
-            plan.append(
-                (index / stream.rate, number, group[index % len(group)]),
-            )
-    started = boot_now()
-    try:
-        async with asyncio.TaskGroup() as tasks:
-            for at, number, caller in sorted(plan, key=lambda item: item[:2]):
-                await asyncio.sleep(max(0.0, started + at - boot_now()))
-                tasks.create_task(caller.ask(number))
-    finally:
-        for caller in callers:
-            caller.client.close()
+    """Send the requests of the platform's callers."""
+    await play_streams(
+        scenario.streams,
+        scenario.load_s,
+        lambda name, stream: PlatformCaller(
+            name,
+            stream,
+            numbers_by_address,
+            lookups,
+            record,
+        ),
+    )
