--- a/copperyard/entry_board.py
+++ b/copperyard/entry_board.py
@@ -30,6 +30,7 @@
     :param entry_ips: all entries heard of lately, this one included.
     :param has_servers: whether the backend servers have been read.
     :param is_leaving: whether the process is about to stop.
+    :param waiting_by_service: requests for which a server is looked for.
     :param has_unsent: set when there are load reports to pass on.
     :param unsent_samples: load reports to pass on, with their time.
     :param unsent_sends: servers that got requests, to pass on.
@@ -46,6 +47,7 @@
     is_leaving: bool = False
     table: ServerTable = field(default_factory=ServerTable)
     loads_by_id: dict[str, ServerLoad] = field(default_factory=dict)
+    waiting_by_service: Counter[str] = field(default_factory=Counter)
     has_unsent: Event = field(default_factory=Event)
     unsent_samples: dict[str, tuple[LoadSample, float]] = field(
         default_factory=dict,
--- a/copperyard/entry_gauges.py
+++ b/copperyard/entry_gauges.py
@@ -34,6 +34,10 @@
             name_with('attempts.in_flight', service=service),
             in_flight[service],
         )
+        metrics.gauge(
+            name_with('requests.waiting', service=service),
+            board.waiting_by_service[service],
+        )
         metrics.gauge(
             name_with('repeats.left', service=service),
             board.find_budget(service).find_left(now, len(board.entry_ips)),
--- a/copperyard/neighbours.py
+++ b/copperyard/neighbours.py
@@ -156,6 +156,7 @@
 
         :param news: if it is too large, the others read it themselves.
         """
+        self._board.metrics.count('news.sent')
         content = encode_message(news)
         if len(content) > DATAGRAM_MAX_BYTES:
             empty = ServerNews(news.end, news.end, news.age_s, ())
@@ -214,8 +215,10 @@
             case Heartbeat():
                 self._note_heartbeat(message, now)
             case ServerNews():
+                self._board.metrics.count('news.received')
                 self._knowledge.apply_news(message, now)
             case LoadNews():
+                self._board.metrics.count('loads.received')
                 self._note_loads(message, now)
             case Goodbye(ip=ip):
                 neighbour = self.by_ip.get(ip)
--- a/copperyard/picking.py
+++ b/copperyard/picking.py
@@ -142,7 +142,15 @@
         """
         is_exploring = self._random.random() < EXPLORING_SHARE
         search = _Search(service, excluded, need, is_exploring)
-        waits_until = self._board.clock() + need.wait_s
+        waiting = self._board.waiting_by_service
+        waiting[service] += 1
+        try:
+            return await self._search(search)
+        finally:
+            waiting[service] -= 1
+
+    async def _search(self, search: _Search) -> KnownServer | NotRun:
+        waits_until = self._board.clock() + search.need.wait_s
         for asks in range(PROBE_ROUNDS):
             candidates = self._list(search)
             best = draw_best(candidates, self._random)
--- a/copperyard/store_watch.py
+++ b/copperyard/store_watch.py
@@ -196,6 +196,7 @@
         alive = self._neighbours.list_alive(self._board.clock())
         if not alive:
             return
+        self._board.metrics.count('snapshot.asked')
         newest = max(alive, key=lambda neighbour: neighbour.beat.operator_end)
         address = ':'.join(
             (newest.beat.ip, str(self._board.settings.entry_port)),
--- a/tests/test_metrics_text.py
+++ b/tests/test_metrics_text.py
@@ -59,10 +59,12 @@
     knowledge.operator_read_at = board.clock() - 2
     board.note_sent('s1', board.loads_by_id['s1'])
     board.find_budget('ledger').take(board.clock(), 1)
+    board.waiting_by_service['ledger'] += 3
     update_gauges(board, knowledge)
     found = read(board.metrics)
     assert found['servers_known{service="ledger"}'] == 2
     assert found['attempts_in_flight{service="ledger"}'] == 1
+    assert found['requests_waiting{service="ledger"}'] == 3
     assert found['repeats_left{service="ledger"}'] == 42.5
     assert found['servers_age_s'] == 0.4
     assert found['operator_age_s'] == 2
--- a/tests/test_picking.py
+++ b/tests/test_picking.py
@@ -217,6 +217,20 @@
     assert max(returns) - min(returns) > 0.05
 
 
+async def test_requests_that_wait_are_counted():
+    """The gauge of waiting requests ends at nothing."""
+    board = build_board('s1')
+    age(board)
+    picker, _ = build_picker(board, {'s1': LoadSample(4, 4, 1.0)})
+    async with anyio.create_task_group() as group:
+        for _ in range(3):
+            group.start_soon(picker.pick, 'ledger', (), Need(wait_s=1.0))
+        await anyio.sleep(0.02)
+        assert board.waiting_by_service['ledger'] == 3
+        age(board)
+    assert board.waiting_by_service['ledger'] == 0
+
+
 async def test_last_slots_are_for_what_cannot_be_repeated():
     """Under a burst, notices and orders go before lookups."""
     board = build_board('s1')
