--- a/tests/standins/platform.py
+++ b/tests/standins/platform.py
@@ -54,7 +54,12 @@
         try:
             while await _serve_one(handler, reader, writer):
                 continue
-        except (OSError, asyncio.IncompleteReadError):
+        except (
+            OSError,
+            asyncio.IncompleteReadError,
+            # The loop ends; asyncio would log the cancelled connection.
+            asyncio.CancelledError,
+        ):
             return
         finally:
             writers.discard(writer)
