Share what stood twice; say what constants rest on

The send that needs no last check, the factor by which older counts fade and the milliseconds in a second stand once. Estimates that are created at their first use come from default dictionaries. Constants without a line got one; a bare 3.4 got a name. No behaviour changes.

--- a/copperyard/caller_connections.py
+++ b/copperyard/caller_connections.py
@@ -20,6 +20,7 @@
 from copperyard.replies import Reply, build_reply, encode_head, is_chunked
 from copperyard.routes import RequestLimits
 
+# What a socket usually holds.
 READ_BYTES: Final = 64 * 1024
 # Requests of one connection that run at the same time.
 PIPELINE_MAX: Final = 16
--- a/copperyard/calls.py
+++ b/copperyard/calls.py
@@ -46,7 +46,7 @@
         body=body or b'',
         deadline=pool.clock() + timeout_s,
         silent_after_s=timeout_s,
-        may_send=_is_permitted,
+        may_send=is_permitted,
         dialect=PLAIN_DIALECT,
     )
     server = ServerAddress(address, address, CONNECTIONS_MAX)
@@ -120,5 +120,6 @@
             return kind.value
 
 
-def _is_permitted() -> bool:
+def is_permitted() -> bool:
+    """Permit a send that needs no last check."""
     return True
--- a/copperyard/entry.py
+++ b/copperyard/entry.py
@@ -38,12 +38,16 @@
 from copperyard.settings_watch import SettingsWatch
 from copperyard.store_watch import StoreWatch
 
+# As the deploy file says.
 METRICS_PORT: Final = 9100
 # After SIGTERM, callers still come until their lookup's answer has expired.
 STAY_SHARE: Final = 0.55
 # The rest of the grace time is for the exit itself.
 EXIT_SHARE: Final = 0.9
+# Between two looks whether the last connections are idle; far below the grace
+# time of some seconds.
 DRAIN_LOOK_S: Final = 0.05
+# Idle bounds of connections are seconds.
 CLOSE_IDLE_EVERY_S: Final = 1.0
 # Descriptors for callers; the others lead to backend servers and entries.
 CALLERS_SHARE: Final = 0.6
--- a/copperyard/entry_api.py
+++ b/copperyard/entry_api.py
@@ -27,13 +27,14 @@
     read_caller_domain,
 )
 from copperyard.replies import Reply, build_reply
-from copperyard.requests import HOP_HEADERS
+from copperyard.requests import HOP_HEADERS, MILLISECONDS_PER_S
 from copperyard.routes import RequestLimits, Route
 from copperyard.store_watch import SNAPSHOT_PATH
 
 # Longest time a caller keeps a lookup's answer; a shorter one costs callers
 # more lookups, a longer one leaves them longer with an entry that has gone.
 LOOKUP_TTL_S: Final = 2.0
+# Most addresses in one lookup's answer.
 ADDRESSES_MAX: Final = 64
 # Entries of the caller's failure domain below which others are named too.
 NEAR_ENTRIES_MIN: Final = 2
@@ -42,7 +43,6 @@
 # Time in which a reply reaches the caller before its own deadline.
 REPLY_MARGIN_S: Final = 0.01
 
-_MILLISECONDS: Final = 1000.0
 _JSON: Final = ((b'content-type', b'application/json'),)
 _NOT_FOUND: Final = 404
 _UNAVAILABLE: Final = 503
@@ -216,7 +216,7 @@
                     detail=outcome.detail,
                     sends=course.sends,
                     configuration=self._find_version(),
-                    took_ms=round(took_s * _MILLISECONDS),
+                    took_ms=round(took_s * MILLISECONDS_PER_S),
                 )
             case Answered(server_id=server_id):
                 shown = 'answered'
@@ -229,7 +229,7 @@
                         service=service,
                         server=server_id,
                         sends=course.sends,
-                        took_ms=round(took_s * _MILLISECONDS),
+                        took_ms=round(took_s * MILLISECONDS_PER_S),
                     )
             case _:
                 shown = 'streamed'
@@ -273,6 +273,6 @@
 
 def _read_left_s(text: bytes | None, default_s: float) -> float:
     try:
-        return float(text or b'') / _MILLISECONDS
+        return float(text or b'') / MILLISECONDS_PER_S
     except ValueError:
         return default_s
--- a/copperyard/entry_board.py
+++ b/copperyard/entry_board.py
@@ -3,6 +3,7 @@
 from collections import Counter, defaultdict
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from functools import partial
 
 from anyio import Event
 
@@ -59,11 +60,11 @@
     )
     _indexed_version: int = -1
     _budgets_by_service: dict[str, RepeatBudget] = field(default_factory=dict)
-    _crowding_by_service: dict[str, CrowdingEstimate] = field(
-        default_factory=dict,
+    _crowding_by_service: defaultdict[str, CrowdingEstimate] = field(
+        default_factory=partial(defaultdict, CrowdingEstimate),
     )
-    _priorities_by_service: dict[str, PriorityMix] = field(
-        default_factory=dict,
+    _priorities_by_service: defaultdict[str, PriorityMix] = field(
+        default_factory=partial(defaultdict, PriorityMix),
     )
     _work_times_by_route: dict[str, WorkTime] = field(default_factory=dict)
 
@@ -116,18 +117,11 @@
 
     def find_crowding(self, service: str) -> CrowdingEstimate:
         """Return what is known of a service's nearly full servers."""
-        estimate = self._crowding_by_service.get(service)
-        if estimate is None:
-            estimate = CrowdingEstimate()
-            self._crowding_by_service[service] = estimate
-        return estimate
+        return self._crowding_by_service[service]
 
     def find_priorities(self, service: str) -> PriorityMix:
         """Return the priorities of a service's recent requests."""
-        mix = self._priorities_by_service.get(service)
-        if mix is None:
-            mix = self._priorities_by_service[service] = PriorityMix()
-        return mix
+        return self._priorities_by_service[service]
 
     def find_work_time(self, route: Route) -> WorkTime:
         """Return what is known of the work of a route's requests."""
--- a/copperyard/exchanges.py
+++ b/copperyard/exchanges.py
@@ -28,6 +28,7 @@
 # A connection takes about 1 ms; the kernel repeats a lost first packet only
 # after 1 s, and another server is tried long before.
 CONNECT_WITHIN_S: Final = 0.25
+# A larger answer is passed on part by part, so that memory stays bounded.
 BUFFER_LIMIT_BYTES: Final = 1024 * 1024
 # Between two looks whether a server answers before it has read the body.
 EARLY_ANSWER_LOOK_S: Final = 0.02
--- a/copperyard/failure_shares.py
+++ b/copperyard/failure_shares.py
@@ -1,8 +1,9 @@
 """The share of its requests that a server has failed lately."""
 
-import math
 from typing import Final
 
+from copperyard.fading import find_fade
+
 # Answers this old count little: failures come in spells of some seconds.
 MEMORY_S: Final = 5.0
 # A server counts as having answered that many more requests well, so that one
@@ -40,7 +41,7 @@
         return self._bad / (self._good + self._bad + ASSUMED_GOOD)
 
     def _fade(self, now: float) -> None:
-        factor = math.exp(min(0.0, self._faded_at - now) / MEMORY_S)
+        factor = find_fade(self._faded_at, now, MEMORY_S)
         self._good *= factor
         self._bad *= factor
         self._faded_at = now
--- a/copperyard/knowledge.py
+++ b/copperyard/knowledge.py
@@ -21,6 +21,7 @@
 
 # Reads whose changes are named again, so that one lost datagram leaves no gap.
 NEWS_READS: Final = 4
+# Offset before the first read; offsets count from 0.
 UNKNOWN: Final = -1
 
 
--- a/copperyard/load_probing.py
+++ b/copperyard/load_probing.py
@@ -6,7 +6,7 @@
 import anyio
 from anyio.abc import TaskGroup
 
-from copperyard.calls import build_request
+from copperyard.calls import build_request, is_permitted
 from copperyard.entry_board import EntryBoard
 from copperyard.exchange_messages import Attempt, AttemptFailure, ServerAddress
 from copperyard.exchanges import BackendPool, ForwardResult, StreamedAnswer
@@ -23,6 +23,7 @@
 PROBE_TIMEOUT_S: Final = 0.15
 # Connections to one server when the declared limit is unknown.
 CONNECTIONS_DEFAULT: Final = 8
+# However many entries share a server, a check and a copy must not wait.
 CONNECTIONS_MIN: Final = 3
 
 _OK: Final = 200
@@ -91,7 +92,7 @@
             body=b'',
             deadline=board.clock() + PROBE_TIMEOUT_S,
             silent_after_s=PROBE_TIMEOUT_S,
-            may_send=_is_permitted,
+            may_send=is_permitted,
             dialect=HEALTH_DIALECT,
         )
         board.metrics.count('probe.sent')
@@ -147,7 +148,3 @@
         report.address,
         max(CONNECTIONS_MIN, limit),
     )
-
-
-def _is_permitted() -> bool:
-    return True
--- a/copperyard/neighbours.py
+++ b/copperyard/neighbours.py
@@ -26,13 +26,17 @@
 from copperyard.logs import log_event
 from copperyard.server_loads import LoadSample
 
+# Short against the seconds for which a caller keeps a lookup's answer.
 HEARTBEAT_S: Final = 0.5
 # Heartbeats that an entry sends each second at most, whatever their number.
 HEARTBEATS_PER_S: Final = 80
 # Three heartbeats and a lost one.
 SUSPECT_AFTER_S: Final = 1.7
+# The same where heartbeats are further apart.
+SUSPECT_PERIODS: Final = 3.4
 # Cold servers' senders are chosen among all entries heard within this time.
 FORGET_AFTER_S: Final = 30.0
+# Entries named in a heartbeat, drawn anew each time; bounds its size.
 KNOWN_IPS_MAX: Final = 16
 # Heartbeats to an entry that was named but never heard.
 UNHEARD_TRIES_MAX: Final = 20
@@ -98,7 +102,7 @@
 
         :param now: ``CLOCK_BOOTTIME`` in seconds.
         """
-        bound_s = max(SUSPECT_AFTER_S, 3.4 * self._find_period_s())
+        bound_s = max(SUSPECT_AFTER_S, SUSPECT_PERIODS * self._find_period_s())
         return [
             neighbour
             for neighbour in self.by_ip.values()
--- a/copperyard/picking.py
+++ b/copperyard/picking.py
@@ -38,6 +38,7 @@
 # spread so that they do not meet again.
 FULL_RETRY_S: Final = 0.1
 RETRY_SPREAD: Final = (0.5, 1.5)
+# Between two looks for room: a fifth of the shortest wait.
 ROOM_LOOK_S: Final = 0.005
 # A server in another failure domain is taken when those nearby are full or
 # slowed: its answers cost bytes between them, and what its other callers send
--- a/copperyard/platform/headers.py
+++ b/copperyard/platform/headers.py
@@ -3,6 +3,7 @@
 from typing import Final
 
 from copperyard.dialects import Dialect
+from copperyard.requests import MILLISECONDS_PER_S
 from copperyard.server_loads import LoadSample
 
 REQUEST_ID: Final = b'x-request-id'
@@ -30,7 +31,6 @@
 
 _SERVER_ID: Final = b'x-instance-id'
 _COLD_LEFT_MS: Final = b'x-warmup-ms'
-_MILLISECONDS: Final = 1000.0
 _USUAL_PACE: Final = 100.0
 _COUNTS: Final = 3
 
@@ -74,6 +74,6 @@
     """
     text = dict(headers).get(_COLD_LEFT_MS, b'')
     try:
-        return max(0.0, float(text) / _MILLISECONDS)
+        return max(0.0, float(text) / MILLISECONDS_PER_S)
     except ValueError:
         return 0.0
--- a/copperyard/repeat_budget.py
+++ b/copperyard/repeat_budget.py
@@ -6,6 +6,7 @@
 # Requests and repeats are counted at other moments than the promise is
 # checked, and entries join and leave; the rest of the budget covers that.
 USED_SHARE: Final = 0.75
+# Requests leave the window in parts of a tenth, which the share above covers.
 PARTS_PER_WINDOW: Final = 10
 
 
--- a/copperyard/store_watch.py
+++ b/copperyard/store_watch.py
@@ -30,10 +30,13 @@
 RANKS_MAX: Final = 6
 # Added after a failed read, doubled by each further one.
 FAILED_STEP_S: Final = 0.3
+# Longest pause after failed reads: how late a store that is back is noticed.
 FAILED_MAX_S: Final = 2.0
+# Between two looks at ages: a quarter of a step between ranks.
 LOOK_S: Final = 0.03
 # A heartbeat may overtake the read that brings what it speaks of.
 BEHIND_S: Final = 0.05
+# A neighbour answers within milliseconds, if it runs.
 SNAPSHOT_TIMEOUT_S: Final = 0.4
 # An entry that hears no other one looks for them in the store.
 ALONE_S: Final = 3.0
--- a/copperyard/urgency.py
+++ b/copperyard/urgency.py
@@ -1,8 +1,9 @@
 """Which requests of a service are urgent, by the priorities in use."""
 
-import math
 from typing import Final
 
+from copperyard.fading import find_fade
+
 # Requests this old count little: the mix of a service changes within a day.
 MEMORY_S: Final = 10.0
 # Priorities with a smaller share of the requests decide nothing: a route that
@@ -23,7 +24,7 @@
         :param priority: of its route, 0 is the highest.
         :param now: ``CLOCK_BOOTTIME`` in seconds.
         """
-        factor = math.exp(min(0.0, self._faded_at - now) / MEMORY_S)
+        factor = find_fade(self._faded_at, now, MEMORY_S)
         self._faded_at = now
         weights = self._weights_by_priority
         for known, weight in weights.items():
