Keep no load of a server that has left

Ruled out: dropping them at intervals; a load belongs to a server on the table, so it is only kept for one. Test: test_entry_board, failed before. Choices do not change: servers that have left are on no list.

--- a/copperyard/entry_board.py
+++ b/copperyard/entry_board.py
@@ -179,11 +179,16 @@
         self.has_unsent.set()
 
     def find_load(self, known: KnownServer) -> ServerLoad:
-        """Return the load of a server, created at the first use."""
+        """Return the load of a server, created at the first use.
+
+        That of a server that has left meanwhile is not kept.
+        """
         report = known.report
         load = self.loads_by_id.get(report.server_id)
         if load is None:
-            load = self.loads_by_id[report.server_id] = ServerLoad(report.slots)
+            load = ServerLoad(report.slots)
+            if report.server_id in self.table.servers_by_id:
+                self.loads_by_id[report.server_id] = load
         load.cold_until = max(load.cold_until, known.cold_until)
         return load
 
