--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -7,6 +7,12 @@
 _KNOWN_RED = Path(__file__).parent.parent / 'KNOWN-RED.txt'
 
 
+@pytest.fixture
+def anyio_backend() -> str:
+    """Run on asyncio, as the programs do."""
+    return 'asyncio'
+
+
 def _read_known_red() -> list[str]:
     if not _KNOWN_RED.exists():
         return []
--- a/tests/test_caller_connections.py
+++ b/tests/test_caller_connections.py
@@ -22,12 +22,6 @@
 GET = b'GET /%b HTTP/1.1\r\nHost: h\r\n\r\n'
 
 
-@pytest.fixture
-def anyio_backend():
-    """Run on asyncio, as the programs do."""
-    return 'asyncio'
-
-
 class Server:
     """A listener whose handler waits as the path says."""
 
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -24,12 +24,6 @@
 LARGE = BUFFER_LIMIT_BYTES + 100_000
 
 
-@pytest.fixture
-def anyio_backend():
-    """Run on asyncio, as the stand-in does."""
-    return 'asyncio'
-
-
 class Client:
     """A pool with one stand-in, and a clock that a test can move."""
 
--- a/tests/test_dispatching.py
+++ b/tests/test_dispatching.py
@@ -21,12 +21,6 @@
 SIGNATURE = (b'x-response-signature', b's')
 
 
-@pytest.fixture
-def anyio_backend():
-    """Run on asyncio, as the programs do."""
-    return 'asyncio'
-
-
 def answered(status=200, *, signed=True, headers=()):
     """Build an answer of a server."""
     signature = (SIGNATURE,) if signed else ()
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -18,12 +18,6 @@
 pytestmark = [pytest.mark.anyio, pytest.mark.timeout(90)]
 
 
-@pytest.fixture
-def anyio_backend():
-    """Run on asyncio, as the programs do."""
-    return 'asyncio'
-
-
 async def test_whole_path(tmp_path):
     """Lookup, requests, a configuration, an evacuation, a leave, a stop."""
     servers = [PlatformServerStandIn(f's{number}') for number in range(3)]
--- a/tests/test_load_probing.py
+++ b/tests/test_load_probing.py
@@ -10,12 +10,6 @@
 pytestmark = [pytest.mark.anyio, pytest.mark.timeout(20)]
 
 
-@pytest.fixture
-def anyio_backend():
-    """Run on asyncio, as the programs do."""
-    return 'asyncio'
-
-
 class AnsweringPool:
     """Gives one answer to each health check."""
 
--- a/tests/test_neighbours.py
+++ b/tests/test_neighbours.py
@@ -17,12 +17,6 @@
 PORT = 17790
 
 
-@pytest.fixture
-def anyio_backend():
-    """Run on asyncio, as the programs do."""
-    return 'asyncio'
-
-
 def build_entry(ip):
     """Build an entry that knows one busy server."""
     board = build_board('s1', clock=boot_now, ip=ip, entry_port=PORT)
--- a/tests/test_operations_walks.py
+++ b/tests/test_operations_walks.py
@@ -12,12 +12,6 @@
 IP = '127.0.0.24'
 
 
-@pytest.fixture
-def anyio_backend():
-    """Run on asyncio, as the programs do."""
-    return 'asyncio'
-
-
 async def play(folder, server, *requests):
     """Send requests at the same time to one entry; return the answers."""
     async with (
--- a/tests/test_picking.py
+++ b/tests/test_picking.py
@@ -20,12 +20,6 @@
 pytestmark = [pytest.mark.anyio, pytest.mark.timeout(20)]
 
 
-@pytest.fixture
-def anyio_backend():
-    """Run on asyncio, as the programs do."""
-    return 'asyncio'
-
-
 class ScriptedProber:
     """Answers health checks at once from a table."""
 
--- a/tests/test_platform_records.py
+++ b/tests/test_platform_records.py
@@ -68,12 +68,6 @@
 }
 
 
-@pytest.fixture
-def anyio_backend():
-    """Run on asyncio, as the programs do."""
-    return 'asyncio'
-
-
 def encode(changes):
     """Encode the entry with some fields changed or left out."""
     entry = json.loads(json.dumps(ENTRY))
