Log each signal that an entry receives

The record of the LOST incident does not tell a signal that ends the process from one whose handling fails: an entry logged nothing when a signal arrived.

--- a/copperyard/entry.py
+++ b/copperyard/entry.py
@@ -200,6 +200,7 @@
             signal.SIGHUP,
         ) as signals:
             async for signal_number in signals:
+                log_event('signal_received', signal=signal_number.name)
                 if signal_number == signal.SIGHUP:
                     self._settings_reloader.reload('SIGHUP')
                     continue
