--- a/tests/scenarios/harness.py
+++ b/tests/scenarios/harness.py
@@ -343,6 +343,8 @@
                             number, started_at, seconds_since_boot()
                         )
                     )
+            case 'reload':
+                self._send_signal(names, signal.SIGHUP)
             case 'stop':
                 self._send_signal(names, signal.SIGTERM)
                 with suppress(TimeoutError):
--- a/tests/scenarios/language.py
+++ b/tests/scenarios/language.py
@@ -26,8 +26,8 @@
 }
 _LIST_RULES: Final = frozenset(('domains', 'operators'))
 _FAULT_RULES: Final = frozenset(
-    ('kill', 'freeze', 'stop', 'restart', 'cut', 'behave', 'leave')
-    + ('outage', 'lose', 'lag', 'change', 'race'),
+    ('kill', 'freeze', 'stop', 'reload', 'restart', 'cut', 'behave')
+    + ('leave', 'outage', 'lose', 'lag', 'change', 'race'),
 )
 _PROPERTY_RULES: Final = _DEFAULT_BOUNDS_S.keys() | {
     *('at_most_once', 'truthful', 'own_answer', 'cold_start', 'served'),
--- a/tests/scenarios/platform_harness.py
+++ b/tests/scenarios/platform_harness.py
@@ -134,7 +134,7 @@
                 )
             case 'restart':
                 self._start_entry(platform, fault.entry)
-            case 'kill' | 'freeze' | 'stop':
+            case 'kill' | 'freeze' | 'stop' | 'reload':
                 await self._apply_entry_fault(fault)
             case kind:
                 raise NotImplementedError(f'fault {kind} on the platform')
@@ -158,6 +158,8 @@
                         fault.entry, started_at, seconds_since_boot()
                     )
                 )
+            case 'reload':
+                process.send_signal(signal.SIGHUP)
             case _:
                 process.terminate()
                 exit_status = await asyncio.to_thread(
