Handle signals from the start of a program to its end

Callers of an entry that had got SIGTERM and then SIGHUP saw their connections closed without a response, though backend servers were running the requests.

Cause: each program received signals only while it waited for the first stop signal. Before and after that the default actions applied, and those of SIGTERM, SIGINT and SIGHUP end the process. So SIGHUP or a second SIGTERM ended a draining entry; SIGHUP ended an agent or a proxy at any time, since neither received it at all; and any of the three ended a program that was starting.

The signals are now held back by the signal mask until the program receives them, and it receives them until all it owns is closed. While an entry drains, SIGHUP reloads its settings and further stop signals change nothing, as the drain ends within the grace time. Agent and proxy log SIGHUP and go on; their second stop signal still forces the stop, now also after the drain, when the proxy waits for its open connections.

--- a/copperyard/agent.py
+++ b/copperyard/agent.py
@@ -33,6 +33,8 @@
 from copperyard.relay_controller import fetch_records
 from copperyard.serving import serve_grpc, serve_operator_application
 from copperyard.settings import AgentSettings
+from copperyard.signal_mask import hold_signals
+from copperyard.signals import receive_signals, wait_for_stop
 from copperyard.vm_list_client import VmListClient
 from copperyard.vm_list_controller import follow_vm_list
 
@@ -67,6 +69,7 @@
     """
     board = create_board(settings)
     async with AsyncExitStack() as stack:
+        signals = stack.enter_context(receive_signals())
         log_client = LogClient(settings.log_url)
         stack.push_async_callback(log_client.close)
         vm_list = VmListClient(settings.vm_list_url)
@@ -85,7 +88,7 @@
         tasks.start_soon(write_snapshots, board, log_client, Random())
         tasks.start_soon(membership.run)
         _start_operator_api(board, log_client, tasks)
-        tasks.start_soon(_stop_on_signal, board, membership, tasks)
+        tasks.start_soon(_stop_on_signal, board, membership, signals, tasks)
         log_event('agent_started', member=board.member.key)
 
 
@@ -104,18 +107,18 @@
 async def _stop_on_signal(
     board: AgentBoard,
     membership: MembershipController,
+    signals: AsyncIterator[signal.Signals],
     tasks: TaskGroup,
 ) -> None:
-    """On a signal, leave the view and stop; a second one skips the wait."""
-    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
-        await anext(signals)
-        log_event('stop_requested', member=board.member.key)
-        board.stopping = True
-        board.changed.fire()
-        async with anyio.create_task_group() as wait_tasks:
-            wait_tasks.start_soon(_cancel_on_second_signal, signals, wait_tasks)
-            await _wait_for_departure(board)
-            wait_tasks.cancel_scope.cancel()
+    """On a stop signal, leave the view; a second one skips the wait."""
+    await wait_for_stop(signals)
+    log_event('stop_requested', member=board.member.key)
+    board.stopping = True
+    board.changed.fire()
+    async with anyio.create_task_group() as wait_tasks:
+        wait_tasks.start_soon(_cancel_on_second_signal, signals, wait_tasks)
+        await _wait_for_departure(board)
+        wait_tasks.cancel_scope.cancel()
     if has_proxy_stopped_sending(board, seconds_since_boot()):
         await membership.send_goodbye()
     else:
@@ -128,7 +131,7 @@
     signals: AsyncIterator[signal.Signals],
     wait_tasks: TaskGroup,
 ) -> None:
-    await anext(signals)
+    await wait_for_stop(signals)
     log_event('stop_forced')
     wait_tasks.cancel_scope.cancel()
 
@@ -166,6 +169,7 @@
 
 def main() -> None:
     """Run ``copperyard-agent`` with the command line of the process."""
+    hold_signals()
     defopt.run(_run)
 
 
--- a/copperyard/entry.py
+++ b/copperyard/entry.py
@@ -3,6 +3,7 @@
 import os
 import signal
 import sys
+from collections.abc import AsyncIterator
 from contextlib import AsyncExitStack
 from functools import partial
 from pathlib import Path
@@ -35,6 +36,8 @@
 )
 from copperyard.settings import split_address
 from copperyard.settings_reloader import SettingsReloader
+from copperyard.signal_mask import hold_signals
+from copperyard.signals import receive_signals
 from copperyard.store_poller import StorePoller
 from copperyard.store_replica import StoreReplica
 
@@ -85,24 +88,27 @@
             self._random,
         )
         self._connections: set[CallerConnection] = set()
+        self._stop_requested = anyio.Event()
 
     async def run(self) -> None:
         """Serve until SIGTERM or SIGINT, then drain and stop."""
         settings = self.board.settings
         async with AsyncExitStack() as stack:
+            signals = stack.enter_context(receive_signals())
             stack.enter_context(self._pool)
             self._peers.open(stack)
             self._peers.contact(settings.seed_ips)
             group = await stack.enter_async_context(
                 anyio.create_task_group(),
             )
+            group.start_soon(self._handle_signals, signals)
             await self._listen(group, self._build_api(group))
             self._start_controllers(group)
             log_event('started', entry=settings.entry_id)
-            await self._wait_for_stop()
+            await self._stop_requested.wait()
             await self._drain()
             group.cancel_scope.cancel()
-        log_event('stopped', entry=settings.entry_id)
+            log_event('stopped', entry=settings.entry_id)
 
     def _build_api(self, group: TaskGroup) -> EntryApi:
         prober = LoadProber(self.board, self._pool, group)
@@ -193,18 +199,21 @@
             await anyio.sleep(IDLE_CLOSE_INTERVAL_S)
             self._pool.close_expired_idle(self.board.clock())
 
-    async def _wait_for_stop(self) -> None:
-        with anyio.open_signal_receiver(
-            signal.SIGTERM,
-            signal.SIGINT,
-            signal.SIGHUP,
-        ) as signals:
-            async for signal_number in signals:
-                log_event('signal_received', signal=signal_number.name)
-                if signal_number == signal.SIGHUP:
-                    self._settings_reloader.reload('SIGHUP')
-                    continue
-                return
+    async def _handle_signals(
+        self, signals: AsyncIterator[signal.Signals]
+    ) -> None:
+        # A second stop signal does not shorten the drain, which ends within
+        # the grace time anyway.
+        async for signal_number in signals:
+            log_event(
+                'signal_received',
+                signal=signal_number.name,
+                is_leaving=self.board.is_leaving,
+            )
+            if signal_number == signal.SIGHUP:
+                self._settings_reloader.reload('SIGHUP')
+            else:
+                self._stop_requested.set()
 
     async def _drain(self) -> None:
         grace_s = self.board.settings.bounds.grace_s
@@ -229,6 +238,7 @@
 
 def main() -> None:
     """Run the entry process with the settings file of the platform."""
+    hold_signals()
     path = Path(os.environ.get(SETTINGS_VARIABLE, ''))
     loaded = load_entry_settings(path)
     if isinstance(loaded, Failure):
--- a/copperyard/proxy.py
+++ b/copperyard/proxy.py
@@ -32,6 +32,8 @@
 from copperyard.routing import Router
 from copperyard.serving import serve_application, serve_grpc
 from copperyard.settings import ProxySettings
+from copperyard.signal_mask import hold_signals
+from copperyard.signals import receive_signals, wait_for_stop
 from copperyard.slots import SlotAllocator
 
 PROGRAM_NAME: Final = 'copperyard-proxy'
@@ -74,8 +76,8 @@
     random = Random()
     board = create_board(settings, random)
     slots = SlotAllocator(board, random)
-    hedges = HedgeScheduler()
     async with AsyncExitStack() as stack:
+        signals = stack.enter_context(receive_signals())
         stack.enter_context(board.pool)
         channels = stack.enter_context(PeerChannels())
         tasks = await stack.enter_async_context(anyio.create_task_group())
@@ -85,12 +87,16 @@
         _start_feed_tasks(
             FeedController(board, slots, loans, claims, channels), tasks
         )
-        tasks.start_soon(hedges.run)
         tasks.start_soon(send_probes, board, tasks)
         tasks.start_soon(monitor_drain, board, claims)
-        forwarder = Forwarder(board, slots, loans, claims, hedges, tasks)
+        hedges = HedgeScheduler()
+        tasks.start_soon(hedges.run)
         tasks.start_soon(
-            _serve_callers, board, CallerApi(board, forwarder), tasks
+            _serve_callers,
+            board,
+            Forwarder(board, slots, loans, claims, hedges, tasks),
+            signals,
+            tasks,
         )
         log_event('proxy_started', address=settings.caller_address)
 
@@ -154,13 +160,14 @@
 
 async def _serve_callers(
     board: ProxyBoard,
-    application: CallerApi,
+    forwarder: Forwarder,
+    signals: AsyncIterator[signal.Signals],
     tasks: TaskGroup,
 ) -> None:
     stopping = anyio.Event()
-    tasks.start_soon(_stop_on_signal, board, stopping)
+    tasks.start_soon(_stop_on_signal, board, signals, stopping, tasks)
     await serve_application(
-        application,
+        CallerApi(board, forwarder),
         board.settings.caller_address,
         stopping,
     )
@@ -168,19 +175,19 @@
     tasks.cancel_scope.cancel()
 
 
-async def _stop_on_signal(board: ProxyBoard, stopping: anyio.Event) -> None:
-    """On a signal, drain, wait for cached lookups to expire, then stop."""
-    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
-        await anext(signals)
-        log_event('stop_requested', in_flight=board.in_flight)
-        board.stop_requested = True
-        board.changed.fire()
-        async with anyio.create_task_group() as wait_tasks:
-            wait_tasks.start_soon(
-                _cancel_on_second_signal, board, signals, wait_tasks
-            )
-            await _wait_for_drain(board)
-            wait_tasks.cancel_scope.cancel()
+async def _stop_on_signal(
+    board: ProxyBoard,
+    signals: AsyncIterator[signal.Signals],
+    stopping: anyio.Event,
+    tasks: TaskGroup,
+) -> None:
+    """On a stop signal, drain, let cached lookups expire, then stop."""
+    await wait_for_stop(signals)
+    log_event('stop_requested', in_flight=board.in_flight)
+    board.stop_requested = True
+    board.changed.fire()
+    tasks.start_soon(_interrupt_on_second_signal, board, signals, tasks)
+    await _wait_for_drain(board)
     stopping.set()
 
 
@@ -195,14 +202,14 @@
     await anyio.sleep(max(0, STALE_LOOKUP_GRACE_S - elapsed_s))
 
 
-async def _cancel_on_second_signal(
+async def _interrupt_on_second_signal(
     board: ProxyBoard,
     signals: AsyncIterator[signal.Signals],
-    wait_tasks: TaskGroup,
+    tasks: TaskGroup,
 ) -> None:
-    await anext(signals)
+    await wait_for_stop(signals)
     log_event('stop_forced', in_flight=board.in_flight)
-    wait_tasks.cancel_scope.cancel()
+    tasks.cancel_scope.cancel()
 
 
 def _run(settings_file: Path) -> None:
@@ -215,6 +222,7 @@
 
 def main() -> None:
     """Run ``copperyard-proxy`` with the command line of the process."""
+    hold_signals()
     defopt.run(_run)
 
 
--- a/tests/test_signals.py
+++ b/tests/test_signals.py
@@ -181,3 +181,13 @@
     starting.process.send_signal(signal.SIGTERM)
     starting.write_settings()
     assert starting.wait(START_TIMEOUT_S) == 0
+
+
+def test_second_stop_signal_skips_the_waits(starting):
+    """Guards against an agent or a proxy that a second signal does not end."""
+    starting.write_settings()
+    assert starting.wait_for_event(starting.started_event, START_TIMEOUT_S)
+    starting.process.send_signal(signal.SIGTERM)
+    assert starting.wait_for_event('signal_received', 2)
+    starting.process.send_signal(signal.SIGTERM)
+    assert starting.wait(3) == 0
