Drop a forgotten entry from the budgets at once

Retry budgets and the allowance of cold servers are divided by the known entries. A forgotten entry was left among them until another heartbeat arrived, and for good if it was the last one: fewer retries than allowed, and cold servers that got no request from the share of an entry that is gone.

Cause: the set was rebuilt only when a heartbeat arrived. It is now also rebuilt when silent entries are removed.

Evidence: the new test failed before with the forgotten address in the set.

--- a/copperyard/entry_peers.py
+++ b/copperyard/entry_peers.py
@@ -254,9 +254,7 @@
             log_event('entry_heard', entry=heartbeat.ip)
             self._tries_by_ip.pop(heartbeat.ip, None)
         self.peers_by_ip[heartbeat.ip] = EntryPeer(now, heartbeat)
-        self._board.entry_ips = frozenset(
-            (self._board.settings.ip, *self.peers_by_ip),
-        )
+        self._update_entry_ips()
         self.contact(heartbeat.known_ips)
         if heartbeat.operator_end == self._replica.operator_end:
             read_at = now - heartbeat.operator_age_s
@@ -309,6 +307,12 @@
             if now - peer.heard_at > FORGET_AFTER_S:
                 self.peers_by_ip.pop(ip)
                 log_event('entry_forgotten', entry=ip)
+        self._update_entry_ips()
+
+    def _update_entry_ips(self) -> None:
+        self._board.entry_ips = frozenset(
+            (self._board.settings.ip, *self.peers_by_ip),
+        )
 
     def _send(self, ip: str, content: bytes) -> None:
         try:
--- a/tests/test_entry_peers.py
+++ b/tests/test_entry_peers.py
@@ -8,7 +8,12 @@
 
 from copperyard.clock import seconds_since_boot
 from copperyard.entry_messages import Heartbeat
-from copperyard.entry_peers import LOAD_UPDATE_PEERS_MAX, EntryPeer, EntryPeers
+from copperyard.entry_peers import (
+    FORGET_AFTER_S,
+    LOAD_UPDATE_PEERS_MAX,
+    EntryPeer,
+    EntryPeers,
+)
 from copperyard.server_loads import LoadSample
 from copperyard.store_replica import StoreReplica
 from tests.entry_builders import build_board
@@ -133,3 +138,15 @@
         peers._send_load_update()
     assert len(sent) == 30 * told
     assert len(set(sent)) == entries - 1
+
+
+async def test_last_forgotten_entry_no_longer_shares_the_budgets():
+    """Guards against a share of a budget for an entry that is forgotten."""
+    board, peers = build_entry('127.0.0.31')
+    heartbeat = Heartbeat('127.0.0.32', 'a', True, 0, 0.0)
+    heard_at = seconds_since_boot() - FORGET_AFTER_S - 1
+    peers.peers_by_ip['127.0.0.32'] = EntryPeer(heard_at, heartbeat)
+    board.entry_ips = frozenset(('127.0.0.31', '127.0.0.32'))
+    with anyio.move_on_after(0.05):
+        await peers.run_heartbeats()
+    assert board.entry_ips == {'127.0.0.31'}
