Give reads of servers and of the operator's records their own back-off

While reads of the servers fail, the operator's records were not read either, though the store would answer: a new configuration came into force late.

Cause: both kinds shared the count of failures and the time of the next read. Each kind now has its own; store_lost and store_regained name the kind.

Evidence: with a store that fails reads of servers only, the new test counted no read of the operator's records in two seconds; now at least three.

--- a/copperyard/store_poller.py
+++ b/copperyard/store_poller.py
@@ -1,5 +1,6 @@
 """Polls the metadata store and sends what it reads to the other entries."""
 
+from dataclasses import dataclass
 from typing import Final
 
 import anyio
@@ -50,6 +51,21 @@
 _OK: Final = 200
 
 
+@dataclass(slots=True)
+class _ReadSchedule:
+    """When the records of one kind may be read again.
+
+    :param records: what is read, for the log.
+    :param failed_reads: failures since the last successful read.
+    :param next_read_at: earliest time of the next read, ``CLOCK_BOOTTIME`` in
+        seconds.
+    """
+
+    records: str
+    failed_reads: int = 0
+    next_read_at: float = 0.0
+
+
 class StorePoller:
     """Reads the metadata store often enough to keep the replica up to date.
 
@@ -77,14 +93,15 @@
         self._peers = peers
         self._store = store
         self._pool = pool
-        self._failed_reads = 0
-        self._next_read_at = 0.0
-        self._is_store_lost = False
+        # One kind may fail while the other can still be read.
+        self._server_schedule = _ReadSchedule('servers')
+        self._operator_schedule = _ReadSchedule('operator_records')
 
     async def poll_servers(self) -> None:
         """Read changes of backend servers when due, until cancelled."""
         while True:
             if self._is_due(
+                self._server_schedule,
                 self._replica.servers_read_at,
                 SERVERS_MAX_AGE_S,
                 is_urgent=(
@@ -100,6 +117,7 @@
         while True:
             is_behind = self._is_behind()
             if self._is_due(
+                self._operator_schedule,
                 self._replica.operator_read_at,
                 OPERATOR_MAX_AGE_S,
                 is_urgent=(
@@ -127,10 +145,15 @@
             await anyio.sleep(DISCOVERY_INTERVAL_S)
 
     def _is_due(
-        self, read_at: float, max_age_s: float, *, is_urgent: bool
+        self,
+        schedule: _ReadSchedule,
+        read_at: float,
+        max_age_s: float,
+        *,
+        is_urgent: bool,
     ) -> bool:
         now = self._board.clock()
-        if now < self._next_read_at:
+        if now < schedule.next_read_at:
             return False
         if is_urgent:
             return True
@@ -165,12 +188,12 @@
             case ServerBatch():
                 now = self._board.clock()
                 self._replica.apply_server_batch(batch, read_at, now)
-                self._record_success()
+                _record_success(self._server_schedule)
                 self._peers.send_server_update(
                     self._replica.build_server_update(now),
                 )
             case StoreUnavailable(detail=detail):
-                await self._record_failure(detail)
+                await self._record_failure(self._server_schedule, detail)
 
     async def _read_operator_records(self) -> None:
         read_at = self._board.clock()
@@ -184,26 +207,23 @@
         match batch:
             case OperatorBatch():
                 self._replica.apply_operator_batch(batch, read_at)
-                self._record_success()
+                _record_success(self._operator_schedule)
                 # The heartbeat tells the others that they need not read now.
                 self._peers.send_heartbeats()
             case StoreUnavailable(detail=detail):
-                await self._record_failure(detail)
-
-    def _record_success(self) -> None:
-        if self._is_store_lost:
-            log_event('store_regained')
-        self._is_store_lost = False
-        self._failed_reads = 0
-
-    async def _record_failure(self, detail: str) -> None:
-        if not self._is_store_lost:
-            log_event('store_lost', reason=detail)
-        self._is_store_lost = True
+                await self._record_failure(self._operator_schedule, detail)
+
+    async def _record_failure(
+        self, schedule: _ReadSchedule, detail: str
+    ) -> None:
+        if not schedule.failed_reads:
+            log_event('store_lost', records=schedule.records, reason=detail)
         self._board.metrics.count('store.read_failed')
-        delay_s = min(RETRY_DELAY_MAX_S, RETRY_DELAY_S * 2**self._failed_reads)
-        self._failed_reads += 1
-        self._next_read_at = self._board.clock() + delay_s
+        delay_s = min(
+            RETRY_DELAY_MAX_S, RETRY_DELAY_S * 2**schedule.failed_reads
+        )
+        schedule.failed_reads += 1
+        schedule.next_read_at = self._board.clock() + delay_s
         if self._is_behind() or not self._board.has_servers:
             await self._fetch_snapshot()
 
@@ -227,3 +247,9 @@
         snapshot = decode_snapshot(answer.body)
         if snapshot is not None:
             self._replica.apply_snapshot(snapshot, self._board.clock())
+
+
+def _record_success(schedule: _ReadSchedule) -> None:
+    if schedule.failed_reads:
+        log_event('store_regained', records=schedule.records)
+    schedule.failed_reads = 0
--- /dev/null
+++ b/tests/test_store_poller.py
@@ -0,0 +1,46 @@
+"""Reads of the metadata store and their back-off after failures."""
+
+from random import Random
+
+import anyio
+import pytest
+
+from copperyard.clock import seconds_since_boot
+from copperyard.entry_peers import EntryPeers
+from copperyard.exchanges import BackendPool
+from copperyard.metadata_store import OperatorBatch, StoreUnavailable
+from copperyard.store_poller import StorePoller
+from copperyard.store_replica import StoreReplica
+from tests.entry_builders import build_board
+
+pytestmark = [pytest.mark.anyio, pytest.mark.timeout(20)]
+
+
+class StoreWithoutServers:
+    """Store in which only the operator's records can be read."""
+
+    def __init__(self):
+        self.operator_reads = 0
+
+    async def read_servers(self, start):
+        """Fail."""
+        return StoreUnavailable('status 503')
+
+    async def read_operator_records(self, start):
+        """Return no new record."""
+        self.operator_reads += 1
+        return OperatorBatch(end=0, records=())
+
+
+async def test_failed_reads_of_servers_delay_no_other_reads():
+    """Guards against a configuration that waits for reads of servers."""
+    board = build_board(clock=seconds_since_boot)
+    replica = StoreReplica(board, lambda record: None)
+    store = StoreWithoutServers()
+    peers = EntryPeers(board, replica, Random(1))
+    poller = StorePoller(board, replica, peers, store, BackendPool())
+    with anyio.move_on_after(2.0):
+        async with anyio.create_task_group() as group:
+            group.start_soon(poller.poll_servers)
+            group.start_soon(poller.poll_operator_records)
+    assert store.operator_reads >= 3
