Keep the delay between failed reads of the store finite

An entry that could not read the store about 1,024 times in a row, which takes some 35 minutes, ended with all its requests in flight.

Cause: the delay was computed as a base times two to the power of the number of failures before the limit was applied, and Python cannot convert such an integer to a float. The delay itself is now doubled and limited.

The ejection time of a server, which grows the same way, already limits its exponent.

--- a/copperyard/store_poller.py
+++ b/copperyard/store_poller.py
@@ -56,13 +56,13 @@
     """When the records of one kind may be read again.
 
     :param records: what is read, for the log.
-    :param failed_reads: failures since the last successful read.
+    :param retry_delay_s: delay after the last read if it failed, otherwise 0.
     :param next_read_at: earliest time of the next read, ``CLOCK_BOOTTIME`` in
         seconds.
     """
 
     records: str
-    failed_reads: int = 0
+    retry_delay_s: float = 0.0
     next_read_at: float = 0.0
 
 
@@ -216,14 +216,13 @@
     async def _record_failure(
         self, schedule: _ReadSchedule, detail: str
     ) -> None:
-        if not schedule.failed_reads:
+        if not schedule.retry_delay_s:
             log_event('store_lost', records=schedule.records, reason=detail)
         self._board.metrics.count('store.read_failed')
-        delay_s = min(
-            RETRY_DELAY_MAX_S, RETRY_DELAY_S * 2**schedule.failed_reads
+        schedule.retry_delay_s = min(
+            RETRY_DELAY_MAX_S, max(RETRY_DELAY_S, 2 * schedule.retry_delay_s)
         )
-        schedule.failed_reads += 1
-        schedule.next_read_at = self._board.clock() + delay_s
+        schedule.next_read_at = self._board.clock() + schedule.retry_delay_s
         if self._is_behind() or not self._board.has_servers:
             await self._fetch_snapshot()
 
@@ -250,6 +249,6 @@
 
 
 def _record_success(schedule: _ReadSchedule) -> None:
-    if schedule.failed_reads:
+    if schedule.retry_delay_s:
         log_event('store_regained', records=schedule.records)
-    schedule.failed_reads = 0
+    schedule.retry_delay_s = 0.0
