Contact the seeds of reloaded settings

An entry that heard from no other one kept trying the seeds of its start. When the settings named new ones it did not contact them until a restart, and served lookups with its own address only.

Cause: the seeds were contacted once, before the entry served. The heartbeat task now contacts them whenever the settings name others.

Evidence: the new test timed out before.

--- a/copperyard/entry.py
+++ b/copperyard/entry.py
@@ -97,7 +97,6 @@
             signals = stack.enter_context(receive_signals())
             stack.enter_context(self._pool)
             self._peers.open(stack)
-            self._peers.contact(settings.seed_ips)
             group = await stack.enter_async_context(
                 anyio.create_task_group(),
             )
--- a/copperyard/entry_peers.py
+++ b/copperyard/entry_peers.py
@@ -90,6 +90,7 @@
         self._random = random
         # Heartbeats sent to entries that have not been heard from yet, by IP.
         self._tries_by_ip: dict[str, int] = {}
+        self._contacted_seed_ips: tuple[str, ...] = ()
         self._socket = socket.socket(
             socket.AF_INET,
             socket.SOCK_DGRAM | socket.SOCK_NONBLOCK | socket.SOCK_CLOEXEC,
@@ -141,6 +142,7 @@
         while True:
             self._remove_silent(self._board.clock())
             self.send_heartbeats()
+            self._contact_seeds()
             self._tries_by_ip = {
                 ip: tries + 1
                 for ip, tries in self._tries_by_ip.items()
@@ -309,6 +311,13 @@
                 log_event('entry_forgotten', entry=ip)
         self._update_entry_ips()
 
+    def _contact_seeds(self) -> None:
+        # At the start, and when reloaded settings name other seeds.
+        seed_ips = self._board.settings.seed_ips
+        if seed_ips != self._contacted_seed_ips:
+            self._contacted_seed_ips = seed_ips
+            self.contact(seed_ips)
+
     def _update_entry_ips(self) -> None:
         self._board.entry_ips = frozenset(
             (self._board.settings.ip, *self.peers_by_ip),
--- a/tests/test_entry_peers.py
+++ b/tests/test_entry_peers.py
@@ -1,6 +1,7 @@
 """Datagrams between entries on loopback addresses."""
 
 from contextlib import AsyncExitStack, asynccontextmanager
+from dataclasses import replace
 from random import Random
 
 import anyio
@@ -150,3 +151,21 @@
     with anyio.move_on_after(0.05):
         await peers.run_heartbeats()
     assert board.entry_ips == {'127.0.0.31'}
+
+
+async def test_seeds_of_reloaded_settings_are_contacted():
+    """Guards against an entry that knows only the seeds of its start."""
+    board, peers = build_entry('127.0.0.31')
+    other_board, other = build_entry('127.0.0.32')
+    async with AsyncExitStack() as stack:
+        group = await stack.enter_async_context(anyio.create_task_group())
+        for one in (peers, other):
+            one.open(stack)
+            group.start_soon(one.receive)
+        group.start_soon(peers.run_heartbeats)
+        await anyio.sleep(0.1)
+        board.replace_settings(
+            replace(board.settings, seed_ips=('127.0.0.32',))
+        )
+        await wait_until(lambda: len(other_board.entry_ips) == 2)
+        group.cancel_scope.cancel()
