Apply a reloaded retry window to budgets in use

A reload took over ratio and slack of the retry budgets but kept the window of the start, without a word in the log: after a longer window was set, an entry could send more retries in it than allowed.

Existing budgets now change their window. Retries so far count for the whole new window and requests no longer, so neither window is exceeded at the change.

--- a/copperyard/entry_board.py
+++ b/copperyard/entry_board.py
@@ -104,6 +104,7 @@
         for budget in self._retry_budgets_by_service.values():
             budget.ratio = bounds.retry_ratio
             budget.slack = bounds.retry_slack
+            budget.change_window(bounds.retry_window_s, self.clock())
 
     def replace_routes(self, routes: RouteTable) -> None:
         """Apply a configuration.
--- a/copperyard/shared_retry_budget.py
+++ b/copperyard/shared_retry_budget.py
@@ -14,7 +14,7 @@
     """Retry budget of one service over a sliding window.
 
     The ratio applies to the requests of this entry; the slack is divided
-    evenly among all entries. Both may be changed at any time.
+    evenly among all entries. All three may be changed at any time.
 
     :param ratio: retries allowed per request.
     :param slack: retries that all entries together may send beyond that.
@@ -25,12 +25,28 @@
         self.ratio = ratio
         self.slack = slack
         self._bucket_s = window_s / BUCKETS_PER_WINDOW
-        self._buckets: deque[list[int]] = deque(
-            ([0, 0] for _ in range(BUCKETS_PER_WINDOW)),
-            maxlen=BUCKETS_PER_WINDOW,
-        )
+        self._buckets = _build_buckets()
         self._bucket_number = 0
 
+    def change_window(self, window_s: float, now: float) -> None:
+        """Change the length of the window.
+
+        The retries so far count for the whole new window and the requests no
+        longer, so that the change never allows more than either window.
+
+        :param window_s: length of the window in seconds.
+        :param now: ``CLOCK_BOOTTIME`` in seconds.
+        """
+        bucket_s = window_s / BUCKETS_PER_WINDOW
+        if bucket_s == self._bucket_s:
+            return
+        self._advance(now)
+        retries = sum(bucket[1] for bucket in self._buckets)
+        self._bucket_s = bucket_s
+        self._bucket_number = int(now / bucket_s)
+        self._buckets = _build_buckets()
+        self._buckets[-1][1] = retries
+
     def count_request(self, now: float) -> None:
         """Count the first attempt of a request.
 
@@ -68,3 +84,10 @@
         for _ in range(min(number - self._bucket_number, BUCKETS_PER_WINDOW)):
             self._buckets.append([0, 0])
         self._bucket_number = max(number, self._bucket_number)
+
+
+def _build_buckets() -> deque[list[int]]:
+    return deque(
+        ([0, 0] for _ in range(BUCKETS_PER_WINDOW)),
+        maxlen=BUCKETS_PER_WINDOW,
+    )
--- a/tests/test_settings_reloader.py
+++ b/tests/test_settings_reloader.py
@@ -102,3 +102,19 @@
     )
     reloader.reload('SIGHUP')
     assert board.settings == build_settings(bounds=bounds)
+
+
+def test_changed_retry_window_applies_to_budgets_in_use(file):
+    """Guards against budgets that keep the window of the start."""
+    board = build_board()
+    budget = board.find_retry_budget('ledger')
+    while budget.take(board.clock(), 1):
+        continue
+    reloader = SettingsReloader(board, file.path, file.load)
+    bounds = replace(BOUNDS, retry_window_s=2 * BOUNDS.retry_window_s)
+    file.result = Success(build_settings(bounds=bounds))
+    reloader.reload('SIGHUP')
+    board.clock.now += 1.5 * BOUNDS.retry_window_s
+    assert not budget.take(board.clock(), 1)
+    board.clock.now += BOUNDS.retry_window_s
+    assert budget.take(board.clock(), 1)
