Forget stopped incarnations in the heartbeat table

An agent kept the state of each incarnation that it had ever heard from, and sent heartbeats to some of them, so memory and the cost of each interval grew with every restart of any entry VM.

Cause: HeartbeatTable.prune_peers was written and tested but never called; it also left out members that were expected and never heard from. The heartbeat controller now calls it in each interval.

--- a/copperyard/heartbeat_controller.py
+++ b/copperyard/heartbeat_controller.py
@@ -26,6 +26,7 @@
             board.vm_table,
             started_at,
         )
+        board.heartbeats.prune_peers(board.history, started_at)
         await send_heartbeat_round(board, channels)
         board.changed.fire()
         elapsed_s = seconds_since_boot() - started_at
--- a/copperyard/membership.py
+++ b/copperyard/membership.py
@@ -627,7 +627,11 @@
         """
         known_keys = {departure.member.key for departure in history.departures}
         known_keys.update(history.current.members_by_key)
-        for key in self.find_stopped(history, now) - known_keys:
+        never_heard_keys = self._expected_since_by_key.keys() - (
+            self._peers_by_key.keys()
+        )
+        stopped_keys = self.find_stopped(history, now) | never_heard_keys
+        for key in stopped_keys - known_keys:
             if self._silent_for_s(key, now) >= VM_LIST_GRACE_S:
                 self._peers_by_key.pop(key, None)
                 self._expected_since_by_key.pop(key, None)
