Remove code that nothing but tests calls

Removed: LoanTable.count_lent with its counter (lent slots count as in flight in the slot allocator), LoanTable.discard_overdue (each borrower returns its slot itself), sum_capacities (capacities are reported by the router), and _EMPTY. gather_handover_facts is now called where its content stood a second time. The state machine of a single view moves to the tests and uses the codec of the histories.

--- a/copperyard/configuration.py
+++ b/copperyard/configuration.py
@@ -3,7 +3,6 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field, replace
 from enum import StrEnum
-from types import MappingProxyType
 from typing import Any, Final, TypeAlias
 
 import msgspec
@@ -77,7 +76,6 @@
 
 
 _Changes: TypeAlias = Mapping[str, Change]
-_EMPTY: Mapping[str, str] = MappingProxyType({})
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/copperyard/derived_state.py
+++ b/copperyard/derived_state.py
@@ -23,7 +23,7 @@
     PeerStatus,
     Progress,
 )
-from copperyard.ownership import HandoverFacts
+from copperyard.ownership import gather_handover_facts
 
 
 def find_last_read_at(board: AgentBoard) -> float | None:
@@ -123,12 +123,7 @@
     :returns: the grant.
     """
     stopped = find_stopped(board, now)
-    handover = HandoverFacts(
-        acknowledged_by_key=board.heartbeats.acknowledged_views(),
-        goodbye_keys=board.heartbeats.goodbye_keys(),
-        stopped_keys=stopped,
-        lingering_by_server=board.heartbeats.sum_lingering(),
-    )
+    handover = gather_handover_facts(board.heartbeats, stopped)
     return build_grant(
         GrantFacts(
             member_key=board.member.key,
--- a/copperyard/grants.py
+++ b/copperyard/grants.py
@@ -249,22 +249,6 @@
         return self._acknowledged
 
 
-def sum_capacities(grant: Grant) -> dict[str, int]:
-    """Return how many slots a grant gives, for lookups and loans.
-
-    :param grant: the grant.
-    :returns: number of slots by service.
-    """
-    slots_by_service: dict[str, int] = {}
-    for server in grant.servers_by_id.values():
-        if server.owned:
-            declared = grant.services_by_name[server.service].slots
-            slots = server.slot_bound or declared
-            counted = slots_by_service.get(server.service, 0)
-            slots_by_service[server.service] = counted + slots
-    return slots_by_service
-
-
 def find_server_domains(vms: Iterable[Vm]) -> dict[str, str]:
     """Return the failure domains of the VMs that run a service.
 
--- a/copperyard/loans.py
+++ b/copperyard/loans.py
@@ -8,7 +8,6 @@
 """
 
 import os
-from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Final
@@ -122,7 +121,6 @@
     ) -> None:
         self._generate_id = generate_id
         self._lent_by_id: dict[str, LentSlot] = {}
-        self._lent_by_server: Counter[str] = Counter()
         self._unused_borrowed_by_id: dict[str, BorrowerLoan] = {}
 
     def lend(self, terms: LoanTerms, now: float) -> LoanOffer | None:
@@ -148,7 +146,6 @@
             expires_at=terms.deadline + LOAN_MARGIN_S,
         )
         self._lent_by_id[slot.loan_id] = slot
-        self._lent_by_server[slot.server_id] += 1
         return LoanOffer(slot.loan_id, slot.server_id, start_within_s)
 
     def reclaim(self, loan_id: str) -> LentSlot | None:
@@ -158,12 +155,7 @@
         :returns: the slot to free; ``None`` if it was returned before or the
             loan has expired, in which case the slot has already been freed.
         """
-        slot = self._lent_by_id.pop(loan_id, None)
-        if slot is not None:
-            self._lent_by_server[slot.server_id] -= 1
-            if not self._lent_by_server[slot.server_id]:
-                self._lent_by_server.pop(slot.server_id)
-        return slot
+        return self._lent_by_id.pop(loan_id, None)
 
     def expire(self, now: float) -> tuple[LentSlot, ...]:
         """End the loans whose deadline and margin have passed.
@@ -178,14 +170,6 @@
             self.reclaim(slot.loan_id)
         return tuple(expired)
 
-    def count_lent(self, server_id: str) -> int:
-        """Return how many slots of a server are lent out.
-
-        :param server_id: the server, which may have a new owner since.
-        :returns: number of slots to count as in flight.
-        """
-        return self._lent_by_server[server_id]
-
     def add_borrowed(self, loan: BorrowerLoan) -> None:
         """Record a slot that an owner has lent to this proxy.
 
@@ -221,18 +205,3 @@
             started.
         """
         return self._unused_borrowed_by_id.pop(loan_id, None)
-
-    def discard_overdue(self, now: float) -> tuple[BorrowerLoan, ...]:
-        """Remove borrowed slots whose use can no longer start.
-
-        :param now: ``CLOCK_BOOTTIME`` in seconds.
-        :returns: the slots to return as unused.
-        """
-        overdue = [
-            loan
-            for loan in self._unused_borrowed_by_id.values()
-            if now >= min(loan.start_until, loan.deadline)
-        ]
-        for loan in overdue:
-            self.discard_borrowed(loan.loan_id)
-        return tuple(overdue)
--- a/copperyard/snapshots.py
+++ b/copperyard/snapshots.py
@@ -23,7 +23,6 @@
 from copperyard.membership import (
     View,
     ViewHistory,
-    apply_member_record,
     apply_to_history,
 )
 from copperyard.records import Record, RecordError, SnapshotTaken, decode_record
@@ -116,18 +115,6 @@
     detail: str
 
 
-def _encode_view(view: View) -> dict[str, Any]:
-    body: dict[str, Any] = msgspec.to_builtins(view)
-    return body
-
-
-def _decode_view(body: object) -> Result[View, RecordError]:
-    try:
-        return Success(msgspec.convert(body, View))
-    except msgspec.ValidationError as error:
-        return Failure(RecordError(f'invalid member view: {error}'))
-
-
 def _encode_history(history: ViewHistory) -> dict[str, Any]:
     """Encode only the current view.
 
@@ -135,11 +122,16 @@
     all of them. A node that starts from a snapshot treats every member as a
     possible past owner of each server.
     """
-    return _encode_view(history.current)
+    body: dict[str, Any] = msgspec.to_builtins(history.current)
+    return body
 
 
 def _decode_history(body: object) -> Result[ViewHistory, RecordError]:
-    return _decode_view(body).map(lambda view: ViewHistory(views=(view,)))
+    try:
+        view = msgspec.convert(body, View)
+    except msgspec.ValidationError as error:
+        return Failure(RecordError(f'invalid member view: {error}'))
+    return Success(ViewHistory(views=(view,)))
 
 
 CONFIGURATION_STATE_MACHINE: Final = StateMachine(
@@ -148,14 +140,6 @@
     encode=encode_configuration,
     decode=decode_configuration,
 )
-VIEW_STATE_MACHINE: Final = StateMachine(
-    initial_state=View(),
-    apply_record=apply_member_record,
-    encode=_encode_view,
-    decode=_decode_view,
-)
-
-
 VIEW_HISTORY_STATE_MACHINE: Final = StateMachine(
     initial_state=ViewHistory(),
     apply_record=apply_to_history,
--- a/tests/random_logs.py
+++ b/tests/random_logs.py
@@ -4,6 +4,7 @@
 from returns.result import Result
 
 from copperyard.configuration import Configuration, apply_record
+from copperyard.membership import View, ViewHistory, apply_member_record
 from copperyard.plans import draft_plan
 from copperyard.records import (
     BringBackDomain,
@@ -21,10 +22,23 @@
     decode_record,
     encode_record,
 )
+from copperyard.snapshots import VIEW_HISTORY_STATE_MACHINE, StateMachine
 
 DAMAGED_BODIES = (None, 'x', {'kind': 'unknown'}, {'kind': 'plan_drafted'})
 _DOMAINS = ('a', 'b', 'c')
 _NAMES = ('s0', 's1')
+# One view without its history, so that all nodes have equal states, also those
+# that started from a snapshot.
+VIEW_STATE_MACHINE = StateMachine(
+    initial_state=View(),
+    apply_record=apply_member_record,
+    encode=lambda view: VIEW_HISTORY_STATE_MACHINE.encode(
+        ViewHistory(views=(view,))
+    ),
+    decode=lambda body: VIEW_HISTORY_STATE_MACHINE.decode(body).map(
+        lambda history: history.current
+    ),
+)
 
 
 def declare(name, domains):
--- a/tests/test_log_controller.py
+++ b/tests/test_log_controller.py
@@ -17,7 +17,6 @@
     encode_record,
 )
 from copperyard.snapshots import (
-    VIEW_STATE_MACHINE,
     ReplicaState,
     needs_snapshot,
 )
@@ -27,6 +26,7 @@
     make_agent_board,
     make_member,
 )
+from tests.random_logs import VIEW_STATE_MACHINE
 
 _PROPOSED = Proposed(
     change_id='c1',
--- a/tests/test_log_follower.py
+++ b/tests/test_log_follower.py
@@ -27,11 +27,15 @@
 )
 from copperyard.snapshots import (
     CONFIGURATION_STATE_MACHINE,
-    VIEW_STATE_MACHINE,
     ReplicaState,
     apply_encoded_record,
 )
-from tests.random_logs import configuration_logs, make_member, member_logs
+from tests.random_logs import (
+    VIEW_STATE_MACHINE,
+    configuration_logs,
+    make_member,
+    member_logs,
+)
 from tests.standins.log_service import LogService, serve_asgi
 
 _NODE_COUNT = 3
--- a/tests/test_snapshots.py
+++ b/tests/test_snapshots.py
@@ -12,7 +12,6 @@
 from copperyard.snapshots import (
     CONFIGURATION_STATE_MACHINE,
     SNAPSHOT_INTERVAL_OFFSETS,
-    VIEW_STATE_MACHINE,
     ReplicaState,
     SnapshotError,
     apply_encoded_record,
@@ -22,7 +21,12 @@
     restore_snapshot,
     take_snapshot,
 )
-from tests.random_logs import configuration_logs, make_member, member_logs
+from tests.random_logs import (
+    VIEW_STATE_MACHINE,
+    configuration_logs,
+    make_member,
+    member_logs,
+)
 
 _DETERMINISTIC = settings(derandomize=True, max_examples=80, deadline=None)
 _LOGS = st.one_of(
