End the disruption of an entry when it runs again

After a kill and a restart the scenario checker excused the entry to the end of the run, so a request that the restarted entry held until its deadline was not reported. Both harnesses now record when the entry can be reached again. The new test of the checker failed before; entry_replaced and platform_entries_fail pass with the stricter check.

--- a/tests/scenarios/harness.py
+++ b/tests/scenarios/harness.py
@@ -19,6 +19,7 @@
     Sample,
     ServerDeclaration,
     Withdrawal,
+    end_disruptions,
 )
 from tests.scenarios.language import Fault, Scenario
 from tests.scenarios.operators import Operators
@@ -361,6 +362,8 @@
                 )
             case 'restart':
                 self._start_entry(number)
+                await _wait_until_listening(self.entries[number]['caller'])
+                end_disruptions(self.events, number, seconds_since_boot())
             case _:
                 relays = self._find_relays(number, fault.side)
                 for relay in relays:
--- a/tests/scenarios/history.py
+++ b/tests/scenarios/history.py
@@ -3,7 +3,8 @@
 All times are seconds of ``CLOCK_BOOTTIME``, the same in all processes.
 """
 
-from dataclasses import dataclass
+import math
+from dataclasses import dataclass, replace
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -123,6 +124,20 @@
     answers_callers: bool = False
 
 
+def end_disruptions(events: list[object], entry: int, ended_at: float) -> None:
+    """Set the end of the disruptions of an entry that runs again.
+
+    :param events: recorded events; open disruptions are replaced.
+    :param ended_at: when the restarted entry was reachable.
+    """
+    for index, event in enumerate(events):
+        match event:
+            case EntryDisruption(entry=disrupted, until=math.inf) if (
+                disrupted == entry
+            ):
+                events[index] = replace(event, until=ended_at)
+
+
 @dataclass(frozen=True)
 class AppliedOffset:
     """A member's report of the next configuration offset that it will apply."""
--- a/tests/scenarios/platform_harness.py
+++ b/tests/scenarios/platform_harness.py
@@ -17,6 +17,7 @@
     Run,
     ServerDeclaration,
     Withdrawal,
+    end_disruptions,
 )
 from tests.scenarios.language import Fault, Scenario
 from tests.scenarios.platform_callers import send_platform_load
@@ -134,6 +135,9 @@
                 )
             case 'restart':
                 self._start_entry(platform, fault.entry)
+                entry = self.entries[fault.entry]
+                assert await wait_until(entry.is_ready, READY_TIMEOUT_S)
+                end_disruptions(self.events, fault.entry, seconds_since_boot())
             case 'kill' | 'freeze' | 'stop' | 'reload':
                 await self._apply_entry_fault(fault)
             case kind:
--- a/tests/test_checker.py
+++ b/tests/test_checker.py
@@ -1,5 +1,6 @@
 """The checker reports violations of each property, and nothing else."""
 
+import math
 from dataclasses import replace
 
 import pytest
@@ -17,6 +18,7 @@
     Sample,
     ServerDeclaration,
     Withdrawal,
+    end_disruptions,
 )
 from tests.scenarios.language import Expectation
 
@@ -465,3 +467,14 @@
     history = History(10.0, {}, (_refused_call(request_number=2), late))
     expected = Expectation(kind='served', share=0.9, bound=5.0)
     assert check_history(history, (expected,)) == []
+
+
+def test_restarted_entry_is_checked_again():
+    """Guards against a killed entry that is excused after its restart."""
+    killed = EntryDisruption(1, 8.0, math.inf)
+    events = [killed, _call(outcome='held')]
+    assert not _find_violations(events, 'at_once')
+    end_disruptions(events, 2, 9.0)
+    assert events[0] == killed
+    end_disruptions(events, 1, 9.0)
+    assert _find_violations(events, 'at_once')
