Log damaged records of the log

OPERATIONS.md and design.md promise a record_damaged event, but damaged records were skipped without any log line. follow_stream now logs how many records were skipped and before which offset. The new test failed before.

--- a/copperyard/log_controller.py
+++ b/copperyard/log_controller.py
@@ -47,9 +47,10 @@
     :param stream: name of the stream.
     """
     follower = board.follower(stream)
-    gap_count = 0
+    gap_count = damaged_count = 0
     while True:
         gap_count = _log_gaps(follower, stream, gap_count)
+        damaged_count = _log_damaged(follower, stream, damaged_count)
         started_at = seconds_since_boot()
         request = follower.begin_read()
         outcome = await client.read(
@@ -134,6 +135,22 @@
     return follower.gap_count
 
 
+def _log_damaged(
+    follower: LogFollower[Any],
+    stream: str,
+    logged_count: int,
+) -> int:
+    damaged_count = follower.replica_state.damaged_count
+    if damaged_count > logged_count:
+        log_event(
+            'record_damaged',
+            stream=stream,
+            end=follower.end,
+            count=damaged_count - logged_count,
+        )
+    return damaged_count
+
+
 async def _handle_failure(
     follower: LogFollower[Any],
     stream: str,
--- a/tests/test_log_controller.py
+++ b/tests/test_log_controller.py
@@ -100,27 +100,42 @@
     assert len(log.appended_kinds) == 1
 
 
-def test_gap_is_logged_once(caplog):
-    """A gap in the records is logged, and only once.
+class OneRecordLog:
+    """A log that returns one record at the first read, and none later."""
 
-    The log leaves out records; following reads find no further gap.
-    """
-    board = make_agent_board()
-    entry = LogEntry(offset=5, body=encode_record(_PROPOSED))
+    def __init__(self, offset, body):
+        self._records = (LogEntry(offset=offset, body=body),)
+        self._end = offset + 1
+
+    async def read(self, *_):
+        """Return the records and the end of the stream."""
+        await asyncio.sleep(0.01)
+        records, self._records = self._records, ()
+        return Success(Batch(first=0, end=self._end, records=records))
 
-    class GappyLog:
-        reads = 0
 
-        async def read(self, *_):
-            self.reads += 1
-            await asyncio.sleep(0.01)
-            records = (entry,) if self.reads == 1 else ()
-            return Success(Batch(first=0, end=6, records=records))
+def _follow(log, caplog):
+    """Follow a log for a while and return the logged events."""
+    board = make_agent_board()
 
     async def scenario():
-        reading = follow_stream(board, GappyLog(), board.configuration_stream)
+        reading = follow_stream(board, log, board.configuration_stream)
         await asyncio.wait_for(reading, 0.1)
 
     with caplog.at_level('INFO'), pytest.raises(TimeoutError):
         asyncio.run(scenario())
-    assert caplog.messages.count('records_missing') == 1
+    return caplog.messages
+
+
+def test_gap_is_logged_once(caplog):
+    """A gap in the records is logged, and only once.
+
+    The log leaves out records; following reads find no further gap.
+    """
+    log = OneRecordLog(5, encode_record(_PROPOSED))
+    assert _follow(log, caplog).count('records_missing') == 1
+
+
+def test_damaged_record_is_logged_once(caplog):
+    """Guards against records that are skipped without a log line."""
+    assert _follow(OneRecordLog(0, None), caplog).count('record_damaged') == 1
