Leave out load reports that are not finite and in range

A backend server that sent a load report such as "nan,0,4" or "inf,0,4" ended the whole entry: the conversion to a count raised ValueError or OverflowError in the task of a health check, which runs in the main task group. A slowness of NaN was accepted and never left the averages, a huge count overflowed the message to the other entries, and an infinite cold period excluded a server until its next health check.

An invalid report is left out with a log line and counted as `load_report.malformed`. An invalid cold period keeps the known one instead of making the server warm; `read_cold_left_s` returns `None` for it, so that it is told from a missing header, and the test that expected 0 now expects that.

--- a/copperyard/dispatching.py
+++ b/copperyard/dispatching.py
@@ -16,6 +16,7 @@
 from copperyard.entry_board import EntryBoard
 from copperyard.exchanges import BackendPool, ForwardResult, StreamedResponse
 from copperyard.load_probing import build_server_address
+from copperyard.load_reports import record_load_report
 from copperyard.logs import log_event
 from copperyard.outcomes import (
     Answered,
@@ -30,7 +31,7 @@
     PickOptions,
     ServerPicker,
 )
-from copperyard.platform import PLATFORM_DIALECT, read_load
+from copperyard.platform import PLATFORM_DIALECT
 from copperyard.requests import MILLISECONDS_PER_S, CallerRequest
 from copperyard.routes import Route
 from copperyard.server_table import KnownServer
@@ -341,9 +342,7 @@
                 load_text = PLATFORM_DIALECT.find_load(result.headers)
                 is_success = result.status < _SERVER_ERROR
         board.record_outcome(server_id, load, is_success=is_success)
-        sample = read_load(load_text)
-        if sample is not None:
-            board.record_sample(server_id, load, sample)
+        record_load_report(board, server, load_text)
 
     def _evaluate(
         self,
--- a/copperyard/load_probing.py
+++ b/copperyard/load_probing.py
@@ -10,13 +10,9 @@
 from copperyard.entry_board import EntryBoard
 from copperyard.exchanges import BackendPool, ForwardResult, StreamedResponse
 from copperyard.http_calls import build_request, permit_always
+from copperyard.load_reports import record_cold_period, record_load_report
 from copperyard.logs import log_event
-from copperyard.platform import (
-    HEALTH_DIALECT,
-    read_cold_left_s,
-    read_load,
-    read_server_id,
-)
+from copperyard.platform import HEALTH_DIALECT, read_server_id
 from copperyard.server_table import KnownServer
 
 # A health check takes about 6 ms and one round trip between failure domains.
@@ -124,10 +120,10 @@
             # The address has been reused by another server.
             load.back_off(now)
             return
-        sample = read_load(HEALTH_DIALECT.find_load(result.headers))
-        if sample is not None:
-            board.record_sample(server.report.server_id, load, sample)
-        load.cold_until = now + read_cold_left_s(result.headers)
+        record_load_report(
+            board, server, HEALTH_DIALECT.find_load(result.headers)
+        )
+        record_cold_period(board, server, result.headers)
         # The health check is over even if its status is an error, because the
         # response says how long the server stays cold. An error only raises
         # the server's cost: whether it really fails shows in its responses to
--- /dev/null
+++ b/copperyard/load_reports.py
@@ -0,0 +1,56 @@
+"""Load reports in the headers of backend servers' responses."""
+
+from typing import Final
+
+from copperyard.entry_board import EntryBoard
+from copperyard.logs import log_event
+from copperyard.platform import read_cold_left_s, read_load
+from copperyard.server_table import KnownServer
+
+LOGGED_CHARACTERS_MAX: Final = 64
+
+
+def record_load_report(
+    board: EntryBoard, server: KnownServer, text: str
+) -> None:
+    """Record the load report of a response, unless it is missing or invalid.
+
+    :param board: receives the report.
+    :param server: server that sent the response.
+    :param text: the report; empty if it is missing.
+    """
+    sample = read_load(text)
+    if sample is not None:
+        server_id = server.report.server_id
+        board.record_sample(server_id, board.find_load(server), sample)
+    elif text:
+        _record_malformed(board, server, text)
+
+
+def record_cold_period(
+    board: EntryBoard,
+    server: KnownServer,
+    headers: tuple[tuple[bytes, bytes], ...],
+) -> None:
+    """Record how long a server stays cold; an invalid value changes nothing.
+
+    :param board: holds the load of the server.
+    :param server: server that responded to a health check.
+    :param headers: headers of the response.
+    """
+    cold_left_s = read_cold_left_s(headers)
+    if cold_left_s is None:
+        _record_malformed(board, server, 'time for which the server is cold')
+        return
+    board.find_load(server).cold_until = board.clock() + cold_left_s
+
+
+def _record_malformed(
+    board: EntryBoard, server: KnownServer, detail: str
+) -> None:
+    board.metrics.count('load_report.malformed')
+    log_event(
+        'load_report_malformed',
+        server=server.report.server_id,
+        detail=detail[:LOGGED_CHARACTERS_MAX],
+    )
--- a/copperyard/platform/headers.py
+++ b/copperyard/platform/headers.py
@@ -34,6 +34,12 @@
 _COLD_LEFT_MS: Final = b'x-warmup-ms'
 _USUAL_TIME_PERCENT: Final = 100.0
 _REQUIRED_FIGURES: Final = 3
+# Larger figures are invalid. Counts within this limit fit into the messages to
+# other entries.
+_FIGURE_MAX: Final = 1_000_000
+# Servers are cold for seconds; without a limit, one header could exclude a
+# server forever.
+_COLD_LEFT_MAX_S: Final = 86_400.0
 
 
 def read_load(text: str) -> LoadSample | None:
@@ -50,7 +56,10 @@
         figures = [float(part) for part in text.split(',')]
     except ValueError:
         return None
-    if len(figures) < _REQUIRED_FIGURES:
+    # The comparison is false for NaN.
+    if len(figures) < _REQUIRED_FIGURES or not all(
+        0 <= figure <= _FIGURE_MAX for figure in figures
+    ):
         return None
     running, waiting, slots = figures[:_REQUIRED_FIGURES]
     time_percent = (
@@ -58,6 +67,8 @@
         if len(figures) > _REQUIRED_FIGURES
         else _USUAL_TIME_PERCENT
     )
+    if not time_percent:
+        return None
     return LoadSample(
         active_requests=int(running + waiting),
         slots=max(1, int(slots)),
@@ -74,14 +85,15 @@
     return dict(headers).get(_SERVER_ID, b'').decode('latin-1')
 
 
-def read_cold_left_s(headers: tuple[tuple[bytes, bytes], ...]) -> float:
+def read_cold_left_s(headers: tuple[tuple[bytes, bytes], ...]) -> float | None:
     """Return how much longer a server is cold, in seconds.
 
     :param headers: headers of a health check's response.
-    :returns: 0 if the header is missing or invalid.
+    :returns: 0 if the header is missing; ``None`` if it is invalid.
     """
-    text = dict(headers).get(_COLD_LEFT_MS, b'')
+    text = dict(headers).get(_COLD_LEFT_MS, b'0')
     try:
-        return max(0.0, float(text) / MILLISECONDS_PER_S)
+        cold_left_s = float(text) / MILLISECONDS_PER_S
     except ValueError:
-        return 0.0
+        return None
+    return cold_left_s if 0 <= cold_left_s <= _COLD_LEFT_MAX_S else None
--- a/tests/test_load_probing.py
+++ b/tests/test_load_probing.py
@@ -67,3 +67,30 @@
     board = build_board('s1')
     load = await run_check(board, FixedResponsePool(200, x_instance_id='s9'))
     assert not load.is_available(board.clock())
+
+
+@pytest.mark.parametrize('text', ['nan,0,4', 'inf,0,4', '0,0,4,nan', '0,-1,4'])
+async def test_malformed_load_report_is_left_out_and_counted(text):
+    """Guards against a malformed load report that ends the process.
+
+    The load known before stays in force.
+    """
+    board = build_board('s1')
+    before = board.loads_by_id['s1'].sample
+    pool = FixedResponsePool(200, x_instance_id='s1', x_backend_load=text)
+    load = await run_check(board, pool)
+    assert load.sample == before
+    assert not board.unsent_samples
+    assert board.metrics.counts_by_name['load_report.malformed'] == 1
+
+
+@pytest.mark.parametrize('text', ['nan', 'inf', '-1', 'soon'])
+async def test_malformed_cold_period_keeps_the_known_one(text):
+    """Guards against a cold server that is taken for warm, or stays cold."""
+    board = build_board('s1')
+    cold_until = board.clock() + 2.0
+    board.loads_by_id['s1'].cold_until = cold_until
+    pool = FixedResponsePool(200, x_instance_id='s1', x_warmup_ms=text)
+    load = await run_check(board, pool)
+    assert load.cold_until == cold_until
+    assert board.metrics.counts_by_name['load_report.malformed'] == 1
--- a/tests/test_platform_records.py
+++ b/tests/test_platform_records.py
@@ -215,10 +215,13 @@
 
 
 def test_cold_time_is_decoded_in_seconds():
-    """Guards against confused units: the header is in milliseconds."""
+    """Guards against confused units: the header is in milliseconds.
+
+    An invalid header is told from a missing one, that of a warm server.
+    """
     assert read_cold_left_s(((b'x-warmup-ms', b'1500'),)) == 1.5
     assert read_cold_left_s(()) == 0.0
-    assert read_cold_left_s(((b'x-warmup-ms', b'?'),)) == 0.0
+    assert read_cold_left_s(((b'x-warmup-ms', b'?'),)) is None
 
 
 def test_settings_are_decoded():
