Accept any idle timeout that a backend server announces

A backend server whose response carried `Keep-Alive: timeout=` with more than 308 digits ended the entry and cut all its callers off: the number was multiplied as an integer, and the error left the task of the connection.

The seconds are now read as a float, which turns such a number into infinity; the pool's own maximum then applies. The test failed before with "OverflowError: int too large to convert to float".

--- a/copperyard/exchanges.py
+++ b/copperyard/exchanges.py
@@ -388,7 +388,7 @@
         for parameter in keep_alive.split(b','):
             name, _, seconds = parameter.strip().partition(b'=')
             if name.lower() == _TIMEOUT and seconds.isdigit():
-                return min(IDLE_MAX_S, KEEP_ALIVE_FRACTION * int(seconds))
+                return min(IDLE_MAX_S, KEEP_ALIVE_FRACTION * float(seconds))
         return IDLE_MAX_S
 
     def _build_refusal(
