Compare request ids with responses in the encoding of the request

A caller whose request id had a byte above 127 got 502 for each request, though the backend server had run it and answered: the id was sent as Latin-1 and compared as UTF-8, so the response seemed to belong to another request.

Both now use Latin-1, which keeps each byte. The test failed before with "assert 502 == 200".

--- a/copperyard/dialects.py
+++ b/copperyard/dialects.py
@@ -103,7 +103,8 @@
         """
         if not self.request_id:
             return True
-        return values_by_name.get(self.request_id) == request_id.encode()
+        value = values_by_name.get(self.request_id)
+        return value == request_id.encode('latin-1')
 
     def is_refusal(
         self,
--- a/tests/test_entry_api.py
+++ b/tests/test_entry_api.py
@@ -98,3 +98,12 @@
     keep_alive = b'Keep-Alive: timeout=%b\r\n' % (b'9' * 400)
     async with running_entry(SIGNED + keep_alive) as (api, _):
         assert (await send(api)).status == 200
+
+
+async def test_request_id_may_have_any_byte_of_a_header():
+    """Guards against dropping the response to an id that is not ASCII."""
+    headers = SIGNED.replace(b'q1', b'q\xe9')
+    async with running_entry(headers) as (api, server):
+        response = await send(api, request_id=b'q\xe9')
+        assert response.status == 200
+        assert b'q\xe9\r\n' in server.received
