Refuse malformed deadlines, ids and unsendable requests with 400

A caller's deadline of "nan" ended the entry with "ValueError: deadline must not be NaN". "inf", a word and an empty deadline were ignored, "-5" got 503, which invites the caller to try again. A request with two ids or an empty one was sent on and lost, one with two deadlines was sent with the last of them, and one that cannot be encoded (a header `Connection: host`) got 503 again and again.

A deadline must now be a decimal number, a request has one id and at most one deadline, and an attempt that failed because the request cannot be encoded gives `bad_request`, as in the proxy. A number too large for a float is still a valid deadline, limited by the route's timeout, and 0 still gets 503.

The tests failed before: the deadlines with the ValueError, "assert 200 == 400" and "assert 503 == 400"; the ids with "assert 504 == 400"; the unsendable requests with "assert 503 == 400".

--- a/copperyard/dispatching.py
+++ b/copperyard/dispatching.py
@@ -382,14 +382,20 @@
         else:
             state.possible_runs -= failure.is_sent
             state.attempts -= not failure.is_sent
-            refused = NotRun(
-                RefusalReason.SERVER_REFUSED,
-                self._picker.find_retry_after_s(state.request.service),
-                failure.detail,
-            )
-            state.record_failure(refused)
+            state.record_failure(self._build_refusal(state, failure))
         return RETRY_REASONS.get(failure.kind)
 
+    def _build_refusal(
+        self, state: RequestState, failure: AttemptFailure
+    ) -> NotRun:
+        if failure.kind is FailureKind.INVALID:
+            return NotRun(RefusalReason.BAD_REQUEST, detail=failure.detail)
+        return NotRun(
+            RefusalReason.SERVER_REFUSED,
+            self._picker.find_retry_after_s(state.request.service),
+            failure.detail,
+        )
+
     def _log_retry(
         self,
         state: RequestState,
--- a/copperyard/entry_api.py
+++ b/copperyard/entry_api.py
@@ -1,5 +1,6 @@
 """HTTP handlers for callers, the platform and other entries."""
 
+import re
 from random import Random
 from typing import Final
 
@@ -47,6 +48,10 @@
 _JSON: Final = ((b'content-type', b'application/json'),)
 _NOT_FOUND: Final = 404
 _UNAVAILABLE: Final = 503
+# Unlike `float`, it matches no NaN, no infinity and no negative number.
+_DECIMAL_NUMBER: Final = re.compile(
+    rb'[0-9]+(?:\.[0-9]+)?(?:e[+-]?[0-9]+)?', re.IGNORECASE
+)
 _STRIPPED_HEADERS: Final = HOP_BY_HOP_HEADERS | {DEADLINE_MS, REQUEST_ID}
 
 
@@ -100,11 +105,12 @@
             return self._refuse(
                 headers_by_name, NotRun(RefusalReason.UNKNOWN_SERVICE)
             )
-        if REQUEST_ID not in headers_by_name:
+        left_s = _read_left_s(headers_by_name.get(DEADLINE_MS), route.timeout_s)
+        if left_s is None or not _is_identified(received):
             return self._refuse(
                 headers_by_name, NotRun(RefusalReason.BAD_REQUEST)
             )
-        return await self._run(received, headers_by_name, route)
+        return await self._run(received, headers_by_name, route, left_s)
 
     def record_refusal(self, reason: RefusalReason) -> None:
         """Count and log a request that was refused before it was complete.
@@ -181,10 +187,10 @@
         received: ReceivedRequest,
         headers_by_name: dict[bytes, bytes],
         route: Route,
+        left_s: float,
     ) -> CallerResponse:
         board = self._board
         request_id = headers_by_name[REQUEST_ID].decode('latin-1')
-        left_s = _read_left_s(headers_by_name.get(DEADLINE_MS), route.timeout_s)
         service = route.choose_service(self._random)
         state = RequestState(
             request=build_request(
@@ -286,8 +292,23 @@
     return tuple(pair for pair in received.headers if pair[0] not in stripped)
 
 
-def _read_left_s(text: bytes | None, default_s: float) -> float:
-    try:
-        return float(text or b'') / MILLISECONDS_PER_S
-    except ValueError:
+def _is_identified(received: ReceivedRequest) -> bool:
+    """Return whether a request has one id and at most one deadline."""
+    ids = [value for name, value in received.headers if name == REQUEST_ID]
+    deadlines = [name for name, _ in received.headers if name == DEADLINE_MS]
+    return len(ids) == 1 and ids != [b''] and len(deadlines) < 2
+
+
+def _read_left_s(text: bytes | None, default_s: float) -> float | None:
+    """Return the time until the deadline in seconds.
+
+    :param text: value of the header; ``None`` if it is missing.
+    :param default_s: time if the header is missing.
+    :returns: ``None`` if the header is not a decimal number; infinite for a
+        number that is too large for a float.
+    """
+    if text is None:
         return default_s
+    if _DECIMAL_NUMBER.fullmatch(text) is None:
+        return None
+    return float(text) / MILLISECONDS_PER_S
--- a/tests/test_entry_api.py
+++ b/tests/test_entry_api.py
@@ -100,6 +100,54 @@
         assert (await send(api)).status == 200
 
 
+@pytest.mark.parametrize(
+    ('text', 'status'),
+    [
+        (b'800', 200),
+        (b'800.5', 200),
+        (b'9' * 400, 200),
+        (b'1e-05', 503),
+        (b'0', 503),
+        (b'nan', 400),
+        (b'inf', 400),
+        (b'-5', 400),
+        (b'soon', 400),
+        (b'', 400),
+    ],
+)
+async def test_malformed_deadline_is_refused(text, status):
+    """Guards against a deadline that ends the entry, or is ignored.
+
+    With NaN, the time left for a server could not be computed. A valid
+    deadline that is too short is refused with 503.
+    """
+    async with running_entry() as (api, server):
+        response = await send(api, (b'x-deadline-ms', text))
+        assert response.status == status
+        assert bool(server.received) == (status == 200)
+
+
+@pytest.mark.parametrize(
+    ('changes', 'headers'),
+    [
+        ({'request_id': b''}, ()),
+        ({}, ((b'x-request-id', b'q2'),)),
+        ({}, ((b'x-deadline-ms', b'800'), (b'x-deadline-ms', b'900'))),
+        ({}, ((b'connection', b'host'),)),
+        ({'target': b'/a/ x'}, ()),
+    ],
+    ids=['empty_id', 'two_ids', 'two_deadlines', 'host_dropped', 'target'],
+)
+async def test_malformed_request_is_refused_as_such(changes, headers):
+    """Guards against a request that is repeated although it never can succeed.
+
+    A refusal with 503 would invite the caller to repeat it.
+    """
+    async with running_entry() as (api, server):
+        assert (await send(api, *headers, **changes)).status == 400
+        assert not server.received
+
+
 async def test_request_id_may_have_any_byte_of_a_header():
     """Guards against dropping the response to an id that is not ASCII."""
     headers = SIGNED.replace(b'q1', b'q\xe9')
