End only the request, probe or connection that fails unexpectedly

An unexpected exception while an entry handled one request, health check or connection ended the process: each runs in a task group below the main one, which the exception cancelled, so that all callers of the entry lost their connections.

`FaultBarrier` now surrounds these three. It logs the exception with its traceback as `fault_contained`, counts `fault.contained` and lets cancellation pass. The caller gets 503 only if the request was sent to no server, 502 if it may have run, and the server's answer if that had already been chosen. A streamed response that has no owner yet is closed. A server whose health check fails so is backed off, as after any other failed check.

The tests failed before, with the exception of the handler, the dispatcher or the connection pool ("ValueError: unexpected") ending the task group around the listener, and with "TypeError: %d format: a real number is required" for the connection.

--- a/copperyard/caller_connections.py
+++ b/copperyard/caller_connections.py
@@ -22,7 +22,15 @@
     encode_response_head,
     uses_chunked_coding,
 )
-from copperyard.outcomes import Header, NotRun, RefusalReason
+from copperyard.fault_barriers import FaultBarrier
+from copperyard.metrics import Metrics
+from copperyard.outcomes import (
+    Header,
+    NotRun,
+    RefusalReason,
+    Unknown,
+    UnknownReason,
+)
 from copperyard.routes import RequestLimits
 
 # Typical size of a socket's receive buffer.
@@ -33,6 +41,7 @@
 # Interval at which a connection is checked for the end of its last request in
 # flight, after which the idle timeout applies.
 IN_FLIGHT_POLL_S: Final = 1.0
+LOGGED_TARGET_BYTES_MAX: Final = 256
 
 _CONTINUE_RESPONSE: Final = b'HTTP/1.1 100 Continue\r\n\r\n'
 _DISCONNECT_ERRORS: Final = (
@@ -54,6 +63,7 @@
         ``CLOCK_BOOTTIME`` in seconds.
     :param is_keep_alive: whether the caller keeps the connection open.
     :param body: the complete body.
+    :param is_dispatched: set before the request may be sent to a server.
     """
 
     method: str
@@ -62,6 +72,7 @@
     received_at: float
     is_keep_alive: bool
     body: bytes = b''
+    is_dispatched: bool = False
 
 
 @dataclass(slots=True)
@@ -201,6 +212,7 @@
     :param clock: returns ``CLOCK_BOOTTIME`` in seconds.
     :param record_refusal: called with the reason if a request is refused while
         it is being read.
+    :param metrics: counters of the process.
     """
 
     handle: Handler
@@ -208,6 +220,7 @@
     is_closing: Callable[[], bool]
     clock: Callable[[], float]
     record_refusal: Callable[[RefusalReason], None]
+    metrics: Metrics
 
 
 class CallerConnection:
@@ -247,7 +260,10 @@
 
     async def run(self) -> None:
         """Serve the connection until either side closes it."""
-        with self._scope:
+        with (
+            self._scope,
+            FaultBarrier(self._callbacks.metrics, 'connection'),
+        ):
             async with self._stream, anyio.create_task_group() as group:
                 group.start_soon(self._write_responses, group.cancel_scope)
                 await self._read(group)
@@ -333,7 +349,21 @@
     async def _handle(
         self, request: ReceivedRequest, pending: _PendingResponse
     ) -> None:
-        pending.complete(await self._callbacks.handle(request))
+        response: CallerResponse | None = None
+        with FaultBarrier(
+            self._callbacks.metrics,
+            'request',
+            target=request.target[:LOGGED_TARGET_BYTES_MAX].decode('latin-1'),
+        ):
+            response = await self._callbacks.handle(request)
+        pending.complete(response or self._build_fault_response(request))
+
+    def _build_fault_response(self, request: ReceivedRequest) -> CallerResponse:
+        outcome: NotRun | Unknown = NotRun(RefusalReason.INTERNAL_ERROR)
+        if request.is_dispatched:
+            outcome = Unknown(UnknownReason.INTERNAL_ERROR)
+        self._callbacks.metrics.count_error(outcome.reason)
+        return build_response(outcome)
 
     def _refuse(self, fault: RefusalReason) -> None:
         pending = _PendingResponse(is_head=False, is_keep_alive=False)
--- a/copperyard/dispatching.py
+++ b/copperyard/dispatching.py
@@ -1,5 +1,7 @@
 """Dispatch of requests to backend servers, with retries and hedging."""
 
+from collections.abc import Iterator
+from contextlib import ExitStack, contextmanager
 from dataclasses import dataclass, field
 from typing import Final, TypeAlias
 
@@ -99,6 +101,16 @@
         elif isinstance(failure, StreamedResponse):
             failure.close()
 
+    def build_fault_outcome(self) -> DispatchOutcome:
+        """Return the outcome for the caller after an unexpected exception."""
+        if isinstance(self.failure, StreamedResponse):
+            self.failure.close()
+        if self.outcome is not None:
+            return self.outcome
+        if self.possible_runs:
+            return Unknown(UnknownReason.INTERNAL_ERROR)
+        return NotRun(RefusalReason.INTERNAL_ERROR)
+
 
 class Dispatcher:
     """Sends requests to backend servers and decides their outcomes.
@@ -267,13 +279,14 @@
             if result is None:
                 waited_s = board.clock() - sent_at
                 self._record_abandoned(state.route, server, waited_s, slowness)
-        self._record_result(server, result)
-        if isinstance(result, Answered) and result.status < _SERVER_ERROR:
-            processing_s = (board.clock() - sent_at) / slowness
-            self._record_processing_time(
-                state.route, server, active_requests, processing_s
-            )
-        return self._evaluate(state, result)
+        with _closed_on_error(result):
+            self._record_result(server, result)
+            if isinstance(result, Answered) and result.status < _SERVER_ERROR:
+                processing_s = (board.clock() - sent_at) / slowness
+                self._record_processing_time(
+                    state.route, server, active_requests, processing_s
+                )
+            return self._evaluate(state, result)
 
     def _record_abandoned(
         self,
@@ -442,3 +455,12 @@
                 )
             case _:
                 return state.failure
+
+
+@contextmanager
+def _closed_on_error(result: ForwardResult) -> Iterator[None]:
+    with ExitStack() as stack:
+        if isinstance(result, StreamedResponse):
+            stack.enter_context(result)
+        yield
+        stack.pop_all()
--- a/copperyard/entry.py
+++ b/copperyard/entry.py
@@ -160,6 +160,7 @@
                 self._is_leaving,
                 self.board.clock,
                 api.record_refusal,
+                self.board.metrics,
             )
             host, port = split_address(address)
             listener = await anyio.create_tcp_listener(
--- a/copperyard/entry_api.py
+++ b/copperyard/entry_api.py
@@ -11,6 +11,7 @@
 from copperyard.entry_gauges import update_gauges
 from copperyard.entry_messages import encode_message
 from copperyard.entry_peers import EntryPeers
+from copperyard.fault_barriers import FaultBarrier
 from copperyard.http_calls import build_request
 from copperyard.logs import log_event
 from copperyard.metrics_text import (
@@ -207,12 +208,23 @@
             + min(left_s, route.timeout_s)
             - RESPONSE_MARGIN_S,
         )
-        outcome = await self._dispatcher.run(state)
+        received.is_dispatched = True
+        outcome = await self._dispatch(state)
         self._record_outcome(
             state, outcome, board.clock() - received.received_at
         )
         return build_response(outcome)
 
+    async def _dispatch(self, state: RequestState) -> DispatchOutcome:
+        with FaultBarrier(
+            self._board.metrics,
+            'request',
+            request=state.request.request_id,
+            service=state.request.service,
+        ):
+            return await self._dispatcher.run(state)
+        return state.build_fault_outcome()
+
     def _record_outcome(
         self,
         state: RequestState,
--- a/copperyard/exceptions.py
+++ b/copperyard/exceptions.py
@@ -36,4 +36,8 @@
 
 
 class InvariantError(CopperyardError):
-    """An internal invariant is violated; the process must stop."""
+    """An internal invariant is violated.
+
+    The process must stop, unless the invariant concerns only the work inside
+    a ``FaultBarrier``.
+    """
--- a/copperyard/load_probing.py
+++ b/copperyard/load_probing.py
@@ -9,6 +9,7 @@
 from copperyard.attempt_types import Attempt, AttemptFailure, ServerAddress
 from copperyard.entry_board import EntryBoard
 from copperyard.exchanges import BackendPool, ForwardResult, StreamedResponse
+from copperyard.fault_barriers import FaultBarrier
 from copperyard.http_calls import build_request, permit_always
 from copperyard.load_reports import record_cold_period, record_load_report
 from copperyard.logs import log_event
@@ -71,8 +72,12 @@
 
     async def _run(self, server: KnownServer, probe: Probe) -> None:
         server_id = server.report.server_id
+        board = self._board
         try:
-            self._apply_result(server, await self._check(server))
+            with FaultBarrier(board.metrics, 'probe', server=server_id):
+                self._apply_result(server, await self._check(server))
+                return
+            board.find_load(server).back_off(board.clock())
         finally:
             self._probes_by_id.pop(server_id, None)
             probe.completed.set()
--- a/copperyard/logs.py
+++ b/copperyard/logs.py
@@ -74,6 +74,16 @@
         _LOGGER.log(level, event, extra={'fields': fields})
 
 
+def log_exception(event: str, error: Exception, **fields: FieldValue) -> None:
+    """Log one event with the traceback of an exception, as an error.
+
+    :param event: stable event name.
+    :param error: the exception.
+    :param fields: fields of the event.
+    """
+    _LOGGER.error(event, exc_info=error, extra={'fields': fields})
+
+
 class _ProcessFieldsFilter(logging.Filter):
     def __init__(self, program: str, instance: str) -> None:
         super().__init__()
--- a/copperyard/outcomes.py
+++ b/copperyard/outcomes.py
@@ -17,6 +17,7 @@
     ``LEAVING``: the proxy accepts no new requests.
     ``CLAIM_UNAVAILABLE``: the home of the request id, which is the member that
     permits its one run (see ``claims``), cannot do so now.
+    ``INTERNAL_ERROR``: an unexpected exception before anything was sent.
     """
 
     BAD_REQUEST = 'bad_request'
@@ -34,6 +35,7 @@
     CONNECT_FAILED = 'connect_failed'
     SERVER_REFUSED = 'server_refused'
     CLAIM_UNAVAILABLE = 'claim_unavailable'
+    INTERNAL_ERROR = 'internal_error'
 
 
 class UnknownReason(enum.StrEnum):
@@ -44,6 +46,7 @@
     ``REPEAT_RUNNING``, ``REPEAT_ANSWERED``, ``REPEAT_UNKNOWN``: an earlier
     request with the same id is running, was answered or has an unknown
     outcome.
+    ``INTERNAL_ERROR``: an unexpected exception after the request was sent.
     """
 
     ANSWER_LOST = 'answer_lost'
@@ -55,6 +58,7 @@
     REPEAT_RUNNING = 'repeat_running'
     REPEAT_ANSWERED = 'repeat_answered'
     REPEAT_UNKNOWN = 'repeat_unknown'
+    INTERNAL_ERROR = 'internal_error'
 
 
 class RetryReason(enum.StrEnum):
--- a/tests/test_caller_connections.py
+++ b/tests/test_caller_connections.py
@@ -10,6 +10,7 @@
 from copperyard.caller_connections import CallerConnection, ListenerCallbacks
 from copperyard.caller_responses import CallerResponse
 from copperyard.clock import seconds_since_boot
+from copperyard.metrics import Metrics
 from copperyard.routes import RequestLimits
 
 pytestmark = [pytest.mark.anyio, pytest.mark.timeout(20)]
@@ -30,6 +31,7 @@
         self.start_times = []
         self.cancelled_targets = []
         self.refusals = []
+        self.metrics = Metrics()
         self.is_closing = False
         self.port = 0
 
@@ -37,6 +39,11 @@
         """Wait for the milliseconds in the path, then respond with the path."""
         self.requests.append(request)
         self.start_times.append(seconds_since_boot())
+        if request.target.startswith(b'/fault'):
+            request.is_dispatched = request.target.endswith(b'1')
+            raise ValueError(request.target)
+        if request.target == b'/unencodable':
+            return CallerResponse('200')
         digits = request.target.strip(b'/').split(b'/')[0]
         try:
             await anyio.sleep(int(digits or b'0') / 1000)
@@ -60,6 +67,7 @@
         lambda: server.is_closing,
         seconds_since_boot,
         server.refusals.append,
+        server.metrics,
     )
     listener = await anyio.create_tcp_listener(
         local_host='127.0.0.1',
@@ -239,3 +247,30 @@
         writer.write(b'ab')
         assert b' 200 ' in await reader.readuntil(b'\r\n\r\n')
         writer.close()
+
+
+@pytest.mark.parametrize(('is_dispatched', 'status'), [(0, 503), (1, 502)])
+async def test_fault_of_a_handler_ends_only_its_request(is_dispatched, status):
+    """Guards against an unexpected exception that ends the process.
+
+    The caller is promised that the request did not run only if it had not been
+    dispatched. The next request on the connection is answered.
+    """
+    async with running_server() as server:
+        request = GET % (b'fault%d' % is_dispatched)
+        response = await exchange(server, request + GET % b'0')
+        assert response.startswith(b'HTTP/1.1 %d ' % status)
+        assert b' 200 ' in response
+        counts = server.metrics.counts_by_name
+        assert counts['fault.contained'] == counts['refusal.internal_error']
+
+
+async def test_fault_of_a_connection_ends_only_the_connection():
+    """Guards against an unexpected exception that ends the process.
+
+    A response that cannot be encoded fails when it is sent.
+    """
+    async with running_server() as server:
+        assert await exchange(server, GET % b'unencodable') == b''
+        assert b' 200 ' in await exchange(server, GET % b'0')
+        assert server.metrics.counts_by_name['fault.contained'] == 1
--- a/tests/test_entry_api.py
+++ b/tests/test_entry_api.py
@@ -12,7 +12,7 @@
 from copperyard.dispatching import Dispatcher
 from copperyard.entry_api import EntryApi
 from copperyard.exchanges import BackendPool
-from copperyard.outcomes import NotRun, RefusalReason
+from copperyard.outcomes import Answered, NotRun, RefusalReason
 from tests.entry_builders import build_board, build_report
 
 pytestmark = [pytest.mark.anyio, pytest.mark.timeout(20)]
@@ -155,3 +155,37 @@
         response = await send(api, request_id=b'q\xe9')
         assert response.status == 200
         assert b'q\xe9\r\n' in server.received
+
+
+class FaultyDispatcher:
+    """Fails in an unexpected way after some progress."""
+
+    def __init__(self, **progress):
+        self.progress = progress
+
+    async def run(self, state):
+        """Record the progress and fail."""
+        for name, value in self.progress.items():
+            setattr(state, name, value)
+        raise ValueError('unexpected')
+
+
+@pytest.mark.parametrize(
+    ('progress', 'status'),
+    [
+        ({'possible_runs': 0}, 503),
+        ({'possible_runs': 1}, 502),
+        ({'possible_runs': 1, 'outcome': Answered(201, (), b'', 's1')}, 201),
+    ],
+)
+async def test_fault_of_dispatching_ends_only_its_request(progress, status):
+    """Guards against an unexpected exception that ends the process.
+
+    Only a request that was sent to no server is refused as not run, and an
+    answer that has arrived is not lost.
+    """
+    board = build_board('s1', clock=seconds_since_boot)
+    dispatcher = FaultyDispatcher(**progress)
+    response = await send(EntryApi(board, dispatcher, None, None, Random(1)))
+    assert response.status == status
+    assert board.metrics.counts_by_name['fault.contained'] == 1
--- a/tests/test_load_probing.py
+++ b/tests/test_load_probing.py
@@ -94,3 +94,19 @@
     load = await run_check(board, pool)
     assert load.cold_until == cold_until
     assert board.metrics.counts_by_name['load_report.malformed'] == 1
+
+
+class FaultyPool:
+    """Fails in a way that is not expected of a connection."""
+
+    async def forward(self, server, attempt):
+        """Fail at once."""
+        raise ValueError('unexpected')
+
+
+async def test_fault_of_a_health_check_ends_only_the_check():
+    """Guards against an unexpected exception that ends the process."""
+    board = build_board('s1')
+    load = await run_check(board, FaultyPool())
+    assert not load.is_available(board.clock())
+    assert board.metrics.counts_by_name['fault.contained'] == 1
