Contain unexpected exceptions in the proxy

An unexpected exception in a hedge or a load probe ended the proxy, because both run in its main task group. One while a caller's request was forwarded became a plain 500 of the HTTP server without the outcome, so the caller was not told that the request may have run.

A `FaultBarrier` now surrounds each. The caller gets 502 with the outcome `unknown` and the reason `internal_error`; the claim on the request id is finished as before. A failed hedge leaves the first attempt as it is.

The tests failed before: "ValueError: unexpected" ended the task group around the hedge and the probe and left the ASGI application.

--- a/copperyard/caller_api.py
+++ b/copperyard/caller_api.py
@@ -13,6 +13,7 @@
 from copperyard.attempt_types import AttemptFailure
 from copperyard.blackboard import ProxyBoard
 from copperyard.exchanges import StreamedResponse
+from copperyard.fault_barriers import FaultBarrier
 from copperyard.forwarding import FinalOutcome, Forwarder
 from copperyard.logs import log_event
 from copperyard.lookup import build_lookup_body, list_usable_entries
@@ -22,6 +23,7 @@
     NotRun,
     RefusalReason,
     Unknown,
+    UnknownReason,
 )
 from copperyard.requests import (
     BODY_LIMIT_BYTES,
@@ -107,9 +109,21 @@
         body = await _read_body(receive)
         outcome: FinalOutcome = NotRun(RefusalReason.BODY_TOO_LARGE)
         if body is not None:
-            outcome = await self._forwarder.forward(request, body)
+            outcome = await self._forward(request, body)
         await self._send_outcome(send, outcome, request)
 
+    async def _forward(
+        self, request: CallerRequest, body: bytes
+    ) -> FinalOutcome:
+        with FaultBarrier(
+            self._board.metrics,
+            'request',
+            request_id=request.request_id,
+            service=request.service,
+        ):
+            return await self._forwarder.forward(request, body)
+        return Unknown(UnknownReason.INTERNAL_ERROR)
+
     async def _send_outcome(
         self,
         send: Send,
--- a/copperyard/forwarding.py
+++ b/copperyard/forwarding.py
@@ -208,6 +208,7 @@
             self._tasks,
             get_conditions,
             partial(self._acquire_other_slot, request, RetryReason.HEDGE),
+            self._board.metrics,
         )
         if request.is_idempotent and not request.retry_level:
             now = seconds_since_boot()
--- a/copperyard/hedging.py
+++ b/copperyard/hedging.py
@@ -12,6 +12,8 @@
 from copperyard.clock import seconds_since_boot
 from copperyard.exceptions import InvariantError
 from copperyard.exchanges import ForwardResult, StreamedResponse
+from copperyard.fault_barriers import FaultBarrier
+from copperyard.metrics import Metrics
 from copperyard.requests import CallerRequest
 from copperyard.retries import (
     HedgeDue,
@@ -85,6 +87,7 @@
     :param get_conditions: returns the current conditions for retry decisions.
     :param acquire_hedge_slot: acquires a slot on another server and takes a
         token for the hedge.
+    :param metrics: counters of the process.
     :ivar has_ended: whether the attempt and its hedge have ended.
     :ivar duration_s: duration in seconds, set when the attempt has ended.
     :ivar progress: state of the request, ``None`` before ``run``.
@@ -98,6 +101,7 @@
         tasks: TaskGroup,
         get_conditions: Callable[[RequestProgress], RetryConditions],
         acquire_hedge_slot: Callable[[RequestProgress], Slot | None],
+        metrics: Metrics,
     ) -> None:
         self._runner = runner
         self._request = request
@@ -105,6 +109,7 @@
         self._tasks = tasks
         self._get_conditions = get_conditions
         self._acquire_hedge_slot = acquire_hedge_slot
+        self._metrics = metrics
         self._first_scope = anyio.CancelScope()
         self._hedge_scope: anyio.CancelScope | None = None
         self._hedge_done: anyio.Event | None = None
@@ -142,6 +147,14 @@
 
     def start_hedge(self) -> None:
         """Start the hedge if the first attempt is still in flight."""
+        with self._build_barrier():
+            self._start_hedge()
+
+    def _build_barrier(self) -> FaultBarrier:
+        request_id = self._request.request_id
+        return FaultBarrier(self._metrics, 'hedge', request_id=request_id)
+
+    def _start_hedge(self) -> None:
         progress = self.progress
         if self.has_ended or progress is None:
             return
@@ -190,7 +203,7 @@
         done: anyio.Event,
     ) -> None:
         try:
-            with scope:
+            with scope, self._build_barrier():
                 result = await self._runner.run(
                     slot,
                     self._request,
--- a/copperyard/probe_controller.py
+++ b/copperyard/probe_controller.py
@@ -11,6 +11,7 @@
 from copperyard.authority import AuthorityLevel
 from copperyard.blackboard import ProxyBoard
 from copperyard.clock import seconds_since_boot
+from copperyard.fault_barriers import FaultBarrier
 from copperyard.grants import ServerGrant
 from copperyard.limits import LoadReport
 from copperyard.logs import log_event
@@ -41,6 +42,11 @@
 
 
 async def _probe(board: ProxyBoard, server: ServerGrant) -> None:
+    with FaultBarrier(board.metrics, 'probe', server_id=server.server_id):
+        await _send_probe(board, server)
+
+
+async def _send_probe(board: ProxyBoard, server: ServerGrant) -> None:
     board.metrics.count('probe.sent')
     now = seconds_since_boot()
     attempt = Attempt(
