Refuse a request whose caller disconnects before the end of its body

The proxy forwarded such a request with the part of the body that had arrived, with a matching length, so that a backend server ran a request that nobody had sent. The HTTP server reports the disconnect as a message without a body and without `more_body`, which looked like the last part.

That message now ends the request as `bad_request`. The test failed before: the forwarder was called ("ValueError: unexpected" of its stand-in) and the caller's connection got 502.

--- a/copperyard/caller_api.py
+++ b/copperyard/caller_api.py
@@ -107,8 +107,10 @@
             return
         request = parsed.unwrap()
         body = await _read_body(receive)
-        outcome: FinalOutcome = NotRun(RefusalReason.BODY_TOO_LARGE)
-        if body is not None:
+        outcome: FinalOutcome
+        if isinstance(body, NotRun):
+            outcome = body
+        else:
             outcome = await self._forward(request, body)
         await self._send_outcome(send, outcome, request)
 
@@ -191,21 +193,26 @@
         await _send_response(send, status, headers, json.dumps(body).encode())
 
 
-async def _read_body(receive: Receive) -> bytes | None:
-    """Read a complete body; return ``None`` if it exceeds the limit."""
-    message = await receive()
-    body: bytes = message.get('body', b'')
-    if not message.get('more_body', False):
-        return body
-    parts = [body]
-    size = len(body)
-    while message.get('more_body', False):
+async def _read_body(receive: Receive) -> bytes | NotRun:
+    """Read a complete body, or return why it was refused."""
+    parts = []
+    size = 0
+    has_more = True
+    while has_more:
         message = await receive()
+        if message['type'] == 'http.disconnect':
+            return NotRun(
+                RefusalReason.BAD_REQUEST,
+                detail='the caller disconnected before the end of the body',
+            )
         part = message.get('body', b'')
         size += len(part)
         if size <= BODY_LIMIT_BYTES:
             parts.append(part)
-    return None if size > BODY_LIMIT_BYTES else b''.join(parts)
+        has_more = message.get('more_body', False)
+    if size > BODY_LIMIT_BYTES:
+        return NotRun(RefusalReason.BODY_TOO_LARGE)
+    return b''.join(parts)
 
 
 async def _send_response(
--- a/tests/test_proxy_faults.py
+++ b/tests/test_proxy_faults.py
@@ -151,3 +151,16 @@
         async with anyio.create_task_group() as tasks:
             await send_probes(board, tasks)
     assert board.metrics.counts_by_name['fault.contained'] > 1
+
+
+@pytest.mark.parametrize('size', [0, 3])
+async def test_request_whose_body_is_cut_off_is_not_forwarded(size):
+    """Guards against running a request with a part of its body.
+
+    The caller disconnects before it has sent the rest.
+    """
+    forwarder = FaultyForwarder()
+    part = {'type': 'http.request', 'body': b'x' * size, 'more_body': True}
+    start, _ = await serve(forwarder, part, {'type': 'http.disconnect'})
+    assert start['status'] == 400
+    assert not forwarder.calls
