Answer a request to upgrade once

A caller that sent `Connection: upgrade` with `Upgrade` got two responses to one request: the request was complete and ran, and the parser's report of the upgrade was then refused with 400 as if it were another request. The same happened with CONNECT.

A server may ignore an upgrade, so the request is served and its response closes the connection; the bytes behind it, which may be of the other protocol, are not read. CONNECT is refused with 400 before it runs. The tests failed before with "assert 2 == 1" and "assert False".

--- a/copperyard/caller_connections.py
+++ b/copperyard/caller_connections.py
@@ -43,6 +43,7 @@
 IN_FLIGHT_POLL_S: Final = 1.0
 LOGGED_TARGET_BYTES_MAX: Final = 256
 
+_CONNECT: Final = b'CONNECT'
 _CONTINUE_RESPONSE: Final = b'HTTP/1.1 100 Continue\r\n\r\n'
 _DISCONNECT_ERRORS: Final = (
     anyio.EndOfStream,
@@ -117,7 +118,10 @@
         try:
             self._parser.feed_data(content)
         except HttpParserUpgrade:
-            self._record_fault(RefusalReason.BAD_REQUEST)
+            # The request to upgrade is answered without upgrading, and its
+            # response closes the connection. Bytes behind it are ignored.
+            if self._request is not None:
+                self._record_fault(RefusalReason.BAD_REQUEST)
         except HttpParserError:
             self._record_fault(RefusalReason.BAD_REQUEST)
         # The parser reports a header only when it is complete. Counting the
@@ -150,21 +154,26 @@
         self.is_in_body = True
         names = [name for name, _ in self._headers]
         target = b''.join(self._target)
+        method = self._parser.get_method()
         is_unsupported_version = self._parser.get_http_version() != '1.1'
         if (
             names.count(b'host') != 1
             or not target.startswith(b'/')
+            or method == _CONNECT
             or is_unsupported_version
         ):
             self._record_fault(RefusalReason.BAD_REQUEST)
         self._check_content_length()
         self.wants_continue = (b'expect', b'100-continue') in self._headers
         self._request = ReceivedRequest(
-            method=self._parser.get_method().decode('latin-1'),
+            method=method.decode('latin-1'),
             target=target,
             headers=tuple(self._headers),
             received_at=self._clock(),
-            is_keep_alive=self._parser.should_keep_alive(),
+            is_keep_alive=(
+                self._parser.should_keep_alive()
+                and not self._parser.should_upgrade()
+            ),
         )
 
     def on_body(self, part: bytes) -> None:
--- a/tests/test_caller_connections.py
+++ b/tests/test_caller_connections.py
@@ -274,3 +274,24 @@
         assert await exchange(server, GET % b'unencodable') == b''
         assert b' 200 ' in await exchange(server, GET % b'0')
         assert server.metrics.counts_by_name['fault.contained'] == 1
+
+
+@pytest.mark.parametrize(
+    ('method', 'status'), [(b'GET', b'200'), (b'CONNECT', b'400')]
+)
+async def test_request_to_upgrade_gets_one_response(method, status):
+    """Guards against a second response, which no request waits for.
+
+    A server may ignore a request to upgrade. The bytes behind it are not read,
+    since the caller may have sent them in the other protocol.
+    """
+    async with running_server() as server:
+        response = await exchange(
+            server,
+            method + b' /0 HTTP/1.1\r\nHost: h\r\nConnection: upgrade\r\n'
+            b'Upgrade: websocket\r\n\r\n' + GET % b'0',
+        )
+        assert response.startswith(b'HTTP/1.1 ' + status)
+        assert response.count(b'HTTP/1.1 ') == 1
+        assert b'connection: close' in response
+        assert len(server.requests) == (status == b'200')
