--- a/copperyard/caller_connections.py
+++ b/copperyard/caller_connections.py
@@ -22,7 +22,15 @@
     encode_response_head,
     uses_chunked_coding,
 )
-from copperyard.outcomes import Header, NotRun, RefusalReason
+from copperyard.fault_barriers import FaultBarrier
+from copperyard.metrics import Metrics
+from copperyard.outcomes import (
+    Header,
+    NotRun,
+    RefusalReason,
+    Unknown,
+    UnknownReason,
+)
 from copperyard.routes import RequestLimits
 
 # Typical size of a socket's receive buffer.
@@ -33,7 +41,9 @@
 # Interval at which a connection is checked for the end of its last request in
 # flight, after which the idle timeout applies.
 IN_FLIGHT_POLL_S: Final = 1.0
+LOGGED_TARGET_BYTES_MAX: Final = 256
 
+_CONNECT: Final = b'CONNECT'
 _CONTINUE_RESPONSE: Final = b'HTTP/1.1 100 Continue\r\n\r\n'
 _DISCONNECT_ERRORS: Final = (
     anyio.EndOfStream,
@@ -54,6 +64,7 @@
         ``CLOCK_BOOTTIME`` in seconds.
     :param is_keep_alive: whether the caller keeps the connection open.
     :param body: the complete body.
+    :param is_dispatched: set before the request may be sent to a server.
     """
 
     method: str
@@ -62,6 +73,7 @@
     received_at: float
     is_keep_alive: bool
     body: bytes = b''
+    is_dispatched: bool = False
 
 
 @dataclass(slots=True)
@@ -106,7 +118,10 @@
         try:
             self._parser.feed_data(content)
         except HttpParserUpgrade:
-            self._record_fault(RefusalReason.BAD_REQUEST)
+            # The request to upgrade is answered without upgrading, and its
+            # response closes the connection. Bytes behind it are ignored.
+            if self._request is not None:
+                self._record_fault(RefusalReason.BAD_REQUEST)
         except HttpParserError:
             self._record_fault(RefusalReason.BAD_REQUEST)
         # The parser reports a header only when it is complete. Counting the
@@ -139,21 +154,26 @@
         self.is_in_body = True
         names = [name for name, _ in self._headers]
         target = b''.join(self._target)
+        method = self._parser.get_method()
         is_unsupported_version = self._parser.get_http_version() != '1.1'
         if (
             names.count(b'host') != 1
             or not target.startswith(b'/')
+            or method == _CONNECT
             or is_unsupported_version
         ):
             self._record_fault(RefusalReason.BAD_REQUEST)
         self._check_content_length()
         self.wants_continue = (b'expect', b'100-continue') in self._headers
         self._request = ReceivedRequest(
-            method=self._parser.get_method().decode('latin-1'),
+            method=method.decode('latin-1'),
             target=target,
             headers=tuple(self._headers),
             received_at=self._clock(),
-            is_keep_alive=self._parser.should_keep_alive(),
+            is_keep_alive=(
+                self._parser.should_keep_alive()
+                and not self._parser.should_upgrade()
+            ),
         )
 
     def on_body(self, part: bytes) -> None:
@@ -201,6 +221,7 @@
     :param clock: returns ``CLOCK_BOOTTIME`` in seconds.
     :param record_refusal: called with the reason if a request is refused while
         it is being read.
+    :param metrics: counters of the process.
     """
 
     handle: Handler
@@ -208,6 +229,7 @@
     is_closing: Callable[[], bool]
     clock: Callable[[], float]
     record_refusal: Callable[[RefusalReason], None]
+    metrics: Metrics
 
 
 class CallerConnection:
@@ -247,7 +269,10 @@
 
     async def run(self) -> None:
         """Serve the connection until either side closes it."""
-        with self._scope:
+        with (
+            self._scope,
+            FaultBarrier(self._callbacks.metrics, 'connection'),
+        ):
             async with self._stream, anyio.create_task_group() as group:
                 group.start_soon(self._write_responses, group.cancel_scope)
                 await self._read(group)
@@ -333,7 +358,21 @@
     async def _handle(
         self, request: ReceivedRequest, pending: _PendingResponse
     ) -> None:
-        pending.complete(await self._callbacks.handle(request))
+        response: CallerResponse | None = None
+        with FaultBarrier(
+            self._callbacks.metrics,
+            'request',
+            target=request.target[:LOGGED_TARGET_BYTES_MAX].decode('latin-1'),
+        ):
+            response = await self._callbacks.handle(request)
+        pending.complete(response or self._build_fault_response(request))
+
+    def _build_fault_response(self, request: ReceivedRequest) -> CallerResponse:
+        outcome: NotRun | Unknown = NotRun(RefusalReason.INTERNAL_ERROR)
+        if request.is_dispatched:
+            outcome = Unknown(UnknownReason.INTERNAL_ERROR)
+        self._callbacks.metrics.count_error(outcome.reason)
+        return build_response(outcome)
 
     def _refuse(self, fault: RefusalReason) -> None:
         pending = _PendingResponse(is_head=False, is_keep_alive=False)
--- a/copperyard/dispatching.py
+++ b/copperyard/dispatching.py
@@ -1,5 +1,7 @@
 """Dispatch of requests to backend servers, with retries and hedging."""
 
+from collections.abc import Iterator
+from contextlib import ExitStack, contextmanager
 from dataclasses import dataclass, field
 from typing import Final, TypeAlias
 
@@ -16,6 +18,7 @@
 from copperyard.entry_board import EntryBoard
 from copperyard.exchanges import BackendPool, ForwardResult, StreamedResponse
 from copperyard.load_probing import build_server_address
+from copperyard.load_reports import record_load_report
 from copperyard.logs import log_event
 from copperyard.outcomes import (
     Answered,
@@ -30,7 +33,7 @@
     PickOptions,
     ServerPicker,
 )
-from copperyard.platform import PLATFORM_DIALECT, read_load
+from copperyard.platform import PLATFORM_DIALECT
 from copperyard.requests import MILLISECONDS_PER_S, CallerRequest
 from copperyard.routes import Route
 from copperyard.server_table import KnownServer
@@ -98,6 +101,16 @@
         elif isinstance(failure, StreamedResponse):
             failure.close()
 
+    def build_fault_outcome(self) -> DispatchOutcome:
+        """Return the outcome for the caller after an unexpected exception."""
+        if isinstance(self.failure, StreamedResponse):
+            self.failure.close()
+        if self.outcome is not None:
+            return self.outcome
+        if self.possible_runs:
+            return Unknown(UnknownReason.INTERNAL_ERROR)
+        return NotRun(RefusalReason.INTERNAL_ERROR)
+
 
 class Dispatcher:
     """Sends requests to backend servers and decides their outcomes.
@@ -266,13 +279,14 @@
             if result is None:
                 waited_s = board.clock() - sent_at
                 self._record_abandoned(state.route, server, waited_s, slowness)
-        self._record_result(server, result)
-        if isinstance(result, Answered) and result.status < _SERVER_ERROR:
-            processing_s = (board.clock() - sent_at) / slowness
-            self._record_processing_time(
-                state.route, server, active_requests, processing_s
-            )
-        return self._evaluate(state, result)
+        with _closed_on_error(result):
+            self._record_result(server, result)
+            if isinstance(result, Answered) and result.status < _SERVER_ERROR:
+                processing_s = (board.clock() - sent_at) / slowness
+                self._record_processing_time(
+                    state.route, server, active_requests, processing_s
+                )
+            return self._evaluate(state, result)
 
     def _record_abandoned(
         self,
@@ -341,9 +355,7 @@
                 load_text = PLATFORM_DIALECT.find_load(result.headers)
                 is_success = result.status < _SERVER_ERROR
         board.record_outcome(server_id, load, is_success=is_success)
-        sample = read_load(load_text)
-        if sample is not None:
-            board.record_sample(server_id, load, sample)
+        record_load_report(board, server, load_text)
 
     def _evaluate(
         self,
@@ -383,14 +395,20 @@
         else:
             state.possible_runs -= failure.is_sent
             state.attempts -= not failure.is_sent
-            refused = NotRun(
-                RefusalReason.SERVER_REFUSED,
-                self._picker.find_retry_after_s(state.request.service),
-                failure.detail,
-            )
-            state.record_failure(refused)
+            state.record_failure(self._build_refusal(state, failure))
         return RETRY_REASONS.get(failure.kind)
 
+    def _build_refusal(
+        self, state: RequestState, failure: AttemptFailure
+    ) -> NotRun:
+        if failure.kind is FailureKind.INVALID:
+            return NotRun(RefusalReason.BAD_REQUEST, detail=failure.detail)
+        return NotRun(
+            RefusalReason.SERVER_REFUSED,
+            self._picker.find_retry_after_s(state.request.service),
+            failure.detail,
+        )
+
     def _log_retry(
         self,
         state: RequestState,
@@ -437,3 +455,12 @@
                 )
             case _:
                 return state.failure
+
+
+@contextmanager
+def _closed_on_error(result: ForwardResult) -> Iterator[None]:
+    with ExitStack() as stack:
+        if isinstance(result, StreamedResponse):
+            stack.enter_context(result)
+        yield
+        stack.pop_all()
