Leave out registrations with out-of-range or unsendable fields

An entry stopped, and with it all requests that it carried, when some writer put a registration into the store that is valid JSON of the right types but not usable: a deeply nested value (RecursionError), a port of thousands of digits or with digits outside ASCII (ValueError), or a start, sequence or slot count beyond 64 bits, which cannot be encoded for the other entries (OverflowError). An id with a line break or a character outside Latin-1 would have ended up in a header of each request.

The reader caught only decoding errors, and checked only lower bounds. Numbers, names and ids now have bounds, and an address has an ASCII port and no zone index. Such a registration names no server, as any other damaged one; it is logged and counted, and the other servers stay.

The new cases failed before, for example with "RecursionError: maximum recursion depth exceeded while deserializing an object" and "ValueError: invalid literal for int() with base 10"; ids and huge numbers were decoded to a report.

--- a/copperyard/platform/server_registrations.py
+++ b/copperyard/platform/server_registrations.py
@@ -1,6 +1,7 @@
 """Decodes the registrations that backend servers write to the store."""
 
-from typing import Any, Final
+import re
+from typing import Annotated, Final
 
 import msgspec
 
@@ -9,19 +10,29 @@
 
 _DRAINING: Final = 'draining'
 _STATES: Final = frozenset(('ready', _DRAINING))
+# Ids are sent in a header of each request.
+_ID_PATTERN: Final = re.compile('[!-~]{1,128}')
+# Entries exchange these numbers as 64-bit integers.
+_INTEGER_MAX: Final = 2**63 - 1
+_CAPACITY_MAX: Final = 1_000_000
+_COLD_MAX_S: Final = 86_400
+_NAME_LENGTH_MAX: Final = 256
+
+_Name = Annotated[str, msgspec.Meta(max_length=_NAME_LENGTH_MAX)]
+_Number = Annotated[int, msgspec.Meta(ge=0, le=_INTEGER_MAX)]
 
 
 class _ServerInfo(msgspec.Struct, frozen=True):
-    service: str
-    zone: str
-    capacity: int
+    service: _Name
+    zone: _Name
+    capacity: Annotated[int, msgspec.Meta(ge=1, le=_CAPACITY_MAX)]
 
 
 class _ServerStatus(msgspec.Struct, frozen=True, rename='kebab'):
     state: str
-    sequence: int
+    sequence: _Number
     # Remaining time for which the server is cold, not its uptime.
-    warmup_left_s: float = 0
+    warmup_left_s: Annotated[float, msgspec.Meta(ge=0, le=_COLD_MAX_S)] = 0
 
 
 class _ServerRegistration(msgspec.Struct, frozen=True):
@@ -29,7 +40,7 @@
     info: _ServerInfo
     status: _ServerStatus
     # Start of the server in Unix milliseconds, not a version number.
-    born: int = 0
+    born: _Number = 0
 
 
 _DECODER: Final = msgspec.json.Decoder(_ServerRegistration)
@@ -49,9 +60,9 @@
         return ServerGone(key, offset)
     try:
         registration = _DECODER.decode(value)
-    except (msgspec.DecodeError, UnicodeDecodeError):
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError):
         return ServerGone(key, offset)
-    if not _is_valid(registration):
+    if not _is_valid(key, registration):
         return ServerGone(key, offset)
     return ServerReport(
         server_id=key,
@@ -67,24 +78,20 @@
     )
 
 
-def is_invalid(value: bytes) -> bool:
+def is_invalid(key: str, value: bytes) -> bool:
     """Return whether a registration is present but invalid.
 
+    :param key: id of the server.
     :param value: the registration as JSON; empty if it was removed.
     """
     return bool(value) and isinstance(
-        decode_server_registration('', value, 0), ServerGone
+        decode_server_registration(key, value, 0), ServerGone
     )
 
 
-def _is_valid(registration: _ServerRegistration) -> bool:
-    counts: tuple[Any, ...] = (
-        registration.info.capacity,
-        registration.status.sequence + 1,
-    )
+def _is_valid(key: str, registration: _ServerRegistration) -> bool:
     return (
-        registration.status.state in _STATES
+        _ID_PATTERN.fullmatch(key) is not None
+        and registration.status.state in _STATES
         and is_address(registration.address)
-        and all(count > 0 for count in counts)
-        and registration.status.warmup_left_s >= 0
     )
--- a/copperyard/platform/store.py
+++ b/copperyard/platform/store.py
@@ -257,7 +257,9 @@
             if not (is_full and isinstance(change, ServerGone))
         ),
         is_full=is_full,
-        damaged_ids=tuple(item.key for item in items if is_invalid(item.value)),
+        damaged_ids=tuple(
+            item.key for item in items if is_invalid(item.key, item.value)
+        ),
     )
 
 
--- a/copperyard/settings.py
+++ b/copperyard/settings.py
@@ -2,9 +2,10 @@
 
 import ipaddress
 import json
+import re
 from dataclasses import dataclass, field
 from pathlib import Path
-from typing import TypeVar
+from typing import Final, TypeVar
 
 import msgspec
 from returns.result import Failure, Result, Success
@@ -12,6 +13,8 @@
 from copperyard.exceptions import SettingsError
 
 _Settings = TypeVar('_Settings')
+# Limits the length, because ``int`` refuses thousands of digits.
+_PORT_PATTERN: Final = re.compile('[0-9]{1,5}')
 
 
 @dataclass(frozen=True, slots=True)
@@ -182,10 +185,17 @@
 
 
 def is_address(address: str) -> bool:
-    """Return whether a string is ``ip:port`` with a port above 0."""
+    """Return whether a string is ``ip:port`` with a port above 0.
+
+    The port is in ASCII digits; an IPv6 address has no zone index.
+    """
     host, _, port = address.rpartition(':')
     try:
         ipaddress.ip_address(host.strip('[]'))
     except ValueError:
         return False
-    return port.isdigit() and 0 < int(port) < 2**16
+    return (
+        '%' not in host
+        and _PORT_PATTERN.fullmatch(port) is not None
+        and 0 < int(port) < 2**16
+    )
--- a/tests/test_platform_records.py
+++ b/tests/test_platform_records.py
@@ -3,9 +3,16 @@
 import json
 
 import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
 from returns.result import Failure
 
 from copperyard.clock import seconds_since_boot
+from copperyard.entry_messages import (
+    ServerUpdate,
+    decode_datagram,
+    encode_message,
+)
 from copperyard.exchanges import BackendPool
 from copperyard.metadata_store import (
     ConfigurationChange,
@@ -71,6 +78,29 @@
 }
 
 
+json_values = st.sampled_from([-1, 2**63, 2**64, 10**400]) | st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(),
+    lambda values: st.lists(values) | st.dictionaries(st.text(), values),
+    max_leaves=5,
+)
+json_fields = st.dictionaries(
+    st.sampled_from(
+        [
+            'address',
+            'info.service',
+            'info.zone',
+            'info.capacity',
+            'status.state',
+            'status.sequence',
+            'status.warmup-left-s',
+            'born',
+        ]
+    ),
+    json_values,
+    max_size=1,
+)
+
+
 def encode_server_registration(changes):
     """Encode a server's entry with some fields changed, or removed by None."""
     entry = json.loads(json.dumps(SERVER_ENTRY))
@@ -103,7 +133,7 @@
         offset=7,
     )
     assert decode_server_registration('s1', b'', 7) == ServerGone('s1', 7)
-    assert not is_invalid(b'')
+    assert not is_invalid('s1', b'')
 
 
 @pytest.mark.parametrize(
@@ -123,6 +153,18 @@
         encode_server_registration({'status.sequence': -1}),
         encode_server_registration({'status.warmup-left-s': 'soon'}),
         encode_server_registration({'born': 'today'}),
+        b'{"x":' * 100_000,
+        b'{"address":"\\ud800"}',
+        encode_server_registration({'address': f'10.0.0.9:{"9" * 5000}'}),
+        encode_server_registration({'address': '10.0.0.9:\u00b2'}),
+        encode_server_registration({'address': 'fe80::1%\0:80'}),
+        encode_server_registration({'info.capacity': 10**18}),
+        encode_server_registration({'info.service': 'x' * 5000}),
+        encode_server_registration({'status.sequence': 10**30}),
+        encode_server_registration({'status.warmup-left-s': 1e300}),
+        encode_server_registration({'status.warmup-left-s': float('nan')}),
+        encode_server_registration({'born': 10**400}),
+        encode_server_registration({'born': -1}),
     ],
 )
 def test_invalid_server_registration_counts_as_removed(value):
@@ -131,7 +173,28 @@
     Other programs write these entries; some are incomplete or malformed.
     """
     assert isinstance(decode_server_registration('s1', value, 1), ServerGone)
-    assert is_invalid(value)
+    assert is_invalid('s1', value)
+
+
+@pytest.mark.parametrize('key', ['', 's 1', 's\r\nx: y', 's\xe9', 's' * 300])
+def test_server_id_that_no_header_can_carry_is_invalid(key):
+    """Guards against ids that end a request, or add headers to it."""
+    value = encode_server_registration({})
+    assert decode_server_registration(key, value, 1) == ServerGone(key, 1)
+    assert is_invalid(key, value)
+
+
+@settings(derandomize=True, deadline=None)
+@given(json_fields)
+def test_registration_with_any_fields_is_decoded_or_invalid(fields):
+    """Guards against a registration that ends the reading of all others.
+
+    What is decoded must fit into the messages between entries.
+    """
+    value = encode_server_registration(fields)
+    change = decode_server_registration('s1', value, 1)
+    update = ServerUpdate(0, 1, 0.0, (change,))
+    assert decode_datagram(encode_message(update)) == update
 
 
 def test_configuration_is_decoded():
