Read store responses with cut off or damaged records

A response that was cut off inside a record was decoded as if the record were complete: the server or operator record in it was taken for invalid and never read again, since the offset advanced past it. A record whose key is longer than the record removed a server whose id is the start of that key. One record with a bad key, value or offset made the whole page of newest records unreadable, so an entry could not start, and a deeply nested page, an end offset beyond 64 bits or pages that repeat ended or blocked the process.

Only complete records of a response count now, and the next read begins after them; a response without any is refused as a failed read. Records of a damaged page are converted one by one, and what cannot be read is logged and counted as damaged. Offsets have bounds, and a page whose last key repeats ends the read.

The tests failed before: the cut read returned end 7 instead of 6, damaged pages returned StoreUnavailable, a page with nested JSON raised RecursionError, and the repeated pages were requested without end.

--- a/copperyard/metadata_store.py
+++ b/copperyard/metadata_store.py
@@ -1,13 +1,16 @@
 """Interface of the metadata store, and the records read from it."""
 
 from dataclasses import dataclass
-from typing import Protocol, TypeAlias
+from typing import Final, Protocol, TypeAlias
 
 import msgspec
 
 from copperyard.routes import RouteTable
 from copperyard.server_table import ServerChange
 
+# Largest valid offset; a little above it, it still fits into 64 bits.
+OFFSET_MAX: Final = 2**62
+
 
 class OperatorRecord(msgspec.Struct, frozen=True, array_like=True):
     """One record of the operator, still encoded as it is in the store.
--- a/copperyard/platform/store.py
+++ b/copperyard/platform/store.py
@@ -1,8 +1,9 @@
 """Client of the platform's metadata store."""
 
+import json
 import struct
-from collections.abc import Iterator, Mapping
-from typing import Final
+from collections.abc import Mapping
+from typing import Annotated, Any, Final
 from urllib.parse import urlencode
 
 import msgspec
@@ -10,7 +11,9 @@
 from copperyard.attempt_types import AttemptFailure
 from copperyard.exchanges import BackendPool
 from copperyard.http_calls import call_http, describe_failure
+from copperyard.logs import log_event
 from copperyard.metadata_store import (
+    OFFSET_MAX,
     ConfigurationChange,
     DomainChange,
     OperatorBatch,
@@ -49,11 +52,18 @@
 # one byte, the key, and the value.
 _OFFSETS: Final = struct.Struct('>QQ')
 _LENGTH: Final = struct.Struct('>I')
+# Replaces a value that cannot be read; no valid value is equal to it.
+_UNREADABLE: Final = b'\xff'
+# Replaces the bytes of a key that are not valid UTF-8.
+_REPLACEMENT: Final = '\ufffd'
+
+_Offset = Annotated[int, msgspec.Meta(ge=0, le=OFFSET_MAX)]
 
 
 class _StoredRecord(msgspec.Struct, frozen=True):
+    # Empty if it cannot be read.
     key: str
-    offset: int
+    offset: _Offset
     # Base64 in JSON; absent for a deleted key.
     value: bytes = b''
 
@@ -61,7 +71,13 @@
 class _Page(msgspec.Struct, frozen=True, rename='kebab'):
     # The records; the field has the same name in the responses to other calls.
     items: tuple[_StoredRecord, ...]
-    end_offset: int
+    end_offset: _Offset
+    has_more: bool = False
+
+
+class _UncheckedPage(msgspec.Struct, frozen=True, rename='kebab'):
+    items: tuple[Any, ...]
+    end_offset: _Offset
     has_more: bool = False
 
 
@@ -152,6 +168,8 @@
         :param record: the record as it was read.
         :returns: the change that it makes.
         """
+        if _REPLACEMENT in record.name:
+            return UnreadableRecord(record.name)
         if record.name.startswith(EVACUATION_PREFIX):
             domain = record.name.removeprefix(EVACUATION_PREFIX)
             return DomainChange(domain, is_out=bool(record.value))
@@ -188,7 +206,7 @@
             return StoreUnavailable(describe_failure(answer))
         match answer.status:
             case 200:
-                return tuple(_parse_records(answer.body, start))
+                return _parse_body(answer.body, start)
             case 410:
                 return RecordsDeleted()
             case _:
@@ -197,10 +215,14 @@
     async def _read_newest(self, topic: str) -> _Page | StoreFailure:
         first = page = await self._read_page(topic, {})
         items: list[_StoredRecord] = []
+        cursors: set[str] = set()
         while isinstance(page, _Page):
             items.extend(page.items)
             if not (page.has_more and page.items):
                 break
+            if items[-1].key in cursors:
+                return StoreUnavailable('pages repeat a key')
+            cursors.add(items[-1].key)
             page = await self._read_page(topic, {'after': items[-1].key})
         if isinstance(first, _Page) and isinstance(page, _Page):
             # The pages are not one consistent snapshot. The end offset of the
@@ -218,10 +240,7 @@
         )
         if not isinstance(answer, Answered) or answer.status != _OK:
             return StoreUnavailable(describe_failure(answer))
-        try:
-            return msgspec.json.decode(answer.body, type=_Page)
-        except msgspec.DecodeError as error:
-            return StoreUnavailable(str(error))
+        return _decode_page(answer.body)
 
     async def _call(
         self,
@@ -247,6 +266,7 @@
     changes = (
         decode_server_registration(item.key, item.value, item.offset)
         for item in items
+        if item.key
     )
     return ServerBatch(
         start=start,
@@ -258,7 +278,9 @@
         ),
         is_full=is_full,
         damaged_ids=tuple(
-            item.key for item in items if is_invalid(item.key, item.value)
+            item.key
+            for item in items
+            if not item.key or is_invalid(item.key, item.value)
         ),
     )
 
@@ -281,16 +303,69 @@
     )
 
 
-def _parse_records(body: bytes, offset: int) -> Iterator[_StoredRecord]:
+def _decode_page(body: bytes) -> _Page | StoreUnavailable:
+    try:
+        return msgspec.json.decode(body, type=_Page)
+    except (msgspec.DecodeError, RecursionError) as error:
+        log_event('store_page_damaged', reason=str(error))
+        return _decode_damaged_page(body)
+
+
+def _decode_damaged_page(body: bytes) -> _Page | StoreUnavailable:
+    """Decode a page record by record, so that one record hides no other."""
+    try:
+        page = msgspec.convert(
+            json.loads(body.decode('utf-8', 'replace')), _UncheckedPage
+        )
+    except (ValueError, RecursionError) as error:
+        return StoreUnavailable(f'damaged page: {error}')
+    return _Page(
+        tuple(_convert_record(item) for item in page.items),
+        page.end_offset,
+        page.has_more,
+    )
+
+
+def _convert_record(raw: Any) -> _StoredRecord:
+    try:
+        record = msgspec.convert(raw, _StoredRecord)
+    except msgspec.ValidationError:
+        key = raw.get('key') if isinstance(raw, dict) else None
+        record = _StoredRecord(
+            key if isinstance(key, str) else '', 0, _UNREADABLE
+        )
+    # JSON may contain lone surrogates, which UTF-8 cannot encode.
+    key = record.key.encode('utf-16', 'surrogatepass')
+    return msgspec.structs.replace(record, key=key.decode('utf-16', 'replace'))
+
+
+def _parse_body(
+    body: bytes, offset: int
+) -> tuple[_StoredRecord, ...] | StoreUnavailable:
+    """Parse the response to a read.
+
+    If it is cut off, its complete records count; the next read begins after
+    them.
+    """
+    records: list[_StoredRecord] = []
     position = _OFFSETS.size
-    while position + _LENGTH.size <= len(body):
+    while position < len(body):
         start = position + _LENGTH.size
-        position = start + int.from_bytes(body[position:start])
-        yield _parse_record(body[start:position], offset)
-        offset += 1
+        end = start + int.from_bytes(body[position:start])
+        if max(start, end) > len(body):
+            break
+        records.append(_parse_record(body[start:end], offset + len(records)))
+        position = end
+    if position != len(body):
+        if not records:
+            return StoreUnavailable('response is cut off')
+        log_event('store_response_cut_off', records=len(records))
+    return tuple(records)
 
 
 def _parse_record(record: bytes, offset: int) -> _StoredRecord:
     key_end = 1 + record[0] if record else 0
+    if key_end > len(record):
+        return _StoredRecord('', offset, record)
     key = record[1:key_end].decode('utf-8', 'replace')
     return _StoredRecord(key, offset, record[key_end:])
--- a/tests/test_platform_records.py
+++ b/tests/test_platform_records.py
@@ -1,9 +1,11 @@
 """Decoding of the platform's records, headers and settings, and its store."""
 
 import json
+from base64 import b64encode
 
+import anyio
 import pytest
-from hypothesis import given, settings
+from hypothesis import HealthCheck, given, settings
 from hypothesis import strategies as st
 from returns.result import Failure
 
@@ -19,9 +21,11 @@
     DomainChange,
     OperatorRecord,
     RecordsDeleted,
+    ServerBatch,
     StoreUnavailable,
     UnreadableRecord,
 )
+from copperyard.outcomes import Answered
 from copperyard.platform.headers import read_cold_left_s, read_load
 from copperyard.platform.lookups import encode_lookup, read_caller_domain
 from copperyard.platform.operator_records import decode_configuration
@@ -374,6 +378,122 @@
             assert await store.register_entry('10.0.0.1') is not None
 
 
+def encode_records(*records):
+    """Encode the body of the response to a read."""
+    return bytes(16) + b''.join(
+        len(record).to_bytes(4) + record for record in records
+    )
+
+
+def build_store(monkeypatch, *bodies):
+    """Build a store whose calls return the given bodies one after another."""
+    store = PlatformStore(BackendPool(), '127.0.0.1:1')
+    answers = iter(bodies)
+
+    async def call(*_):
+        return Answered(200, (), next(answers), '')
+
+    monkeypatch.setattr(store, '_call', call)
+    return store
+
+
+@pytest.mark.anyio
+async def test_cut_off_record_is_read_again(monkeypatch):
+    """Guards against a server that is lost with the end of a response.
+
+    Its cut off registration is invalid; the next read must begin with it.
+    """
+    record = b'\x02s1' + encode_server_registration({})
+    body = encode_records(record, record)
+    store = build_store(monkeypatch, body[:-9], body[:9], body[: 16 + 4 + 9])
+    batch = await store.read_servers(5)
+    assert batch.end == 6
+    assert [change.slots for change in batch.changes] == [4]
+    assert isinstance(await store.read_servers(6), StoreUnavailable)
+    assert isinstance(await store.read_servers(6), StoreUnavailable)
+
+
+@pytest.mark.anyio
+async def test_record_without_readable_key_names_no_server(monkeypatch):
+    """Guards against the removal of a server whose id is part of a bad key."""
+    good = b'\x02s1' + encode_server_registration({})
+    store = build_store(
+        monkeypatch, encode_records(b'\x09s1', b'', b'\x00x', good)
+    )
+    batch = await store.read_servers(0)
+    assert [change.server_id for change in batch.changes] == ['s1']
+    assert batch.damaged_ids == ('', '', '')
+    assert batch.end == 4
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize(
+    'damaged',
+    [
+        b'{"key":"\\ud800","offset":1,"value":"eA=="}',
+        b'{"key":"\xff","offset":1,"value":"eA=="}',
+        b'{"key":"s2","offset":1,"value":"!"}',
+        b'{"key":"s2","offset":-1,"value":"eA=="}',
+        b'{"key":"s2","offset":1e400,"value":"eA=="}',
+        b'{"key":7,"offset":1}',
+        b'null',
+    ],
+)
+async def test_damaged_record_of_a_page_hides_no_other(monkeypatch, damaged):
+    """Guards against a record that makes the whole store unreadable."""
+    value = b64encode(encode_server_registration({}))
+    page = b'{"end-offset":3,"items":[%s,{"key":"s1","offset":2,"value":"%s"}]}'
+    store = build_store(monkeypatch, page % (damaged, value))
+    batch = await store.read_servers(None)
+    assert [change.server_id for change in batch.changes] == ['s1']
+    assert len(batch.damaged_ids) == 1
+    json.dumps(batch.damaged_ids, ensure_ascii=False).encode()
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize(
+    'page',
+    [
+        b'{"end-offset":-1,"items":[]}',
+        b'{"end-offset":%d,"items":[]}' % 10**40,
+        b'{"end-offset":1,"items":' + b'[' * 100_000,
+        b'{"end-offset":1,"x":' + b'{"x":' * 100_000,
+        b'\xff',
+        b'',
+    ],
+)
+async def test_damaged_page_counts_as_failed_read(monkeypatch, page):
+    """Guards against an exception, or an invalid offset, from a page."""
+    store = build_store(monkeypatch, page)
+    assert isinstance(await store.read_servers(None), StoreUnavailable)
+
+
+@pytest.mark.anyio
+async def test_pages_that_repeat_end_the_read(monkeypatch):
+    """Guards against a read that never ends."""
+    page = b'{"end-offset":1,"has-more":true,"items":[{"key":"s1","offset":0}]}'
+    store = build_store(monkeypatch, *[page] * 9)
+    assert isinstance(await store.read_servers(None), StoreUnavailable)
+
+
+@settings(
+    derandomize=True,
+    deadline=None,
+    suppress_health_check=[HealthCheck.function_scoped_fixture],
+)
+@given(st.binary() | st.lists(st.binary()).map(lambda it: encode_records(*it)))
+def test_any_response_is_read_or_refused(monkeypatch, body):
+    """Guards against an exception that ends the reading of the store."""
+    store = build_store(monkeypatch, *[body] * 4)
+    for start in (0, None):
+        servers = anyio.run(store.read_servers, start)
+        assert isinstance(servers, ServerBatch | StoreUnavailable)
+        operator = anyio.run(store.read_operator_records, start)
+        if not isinstance(operator, StoreUnavailable):
+            for record in operator.records:
+                store.decode_operator_record(record)
+
+
 @pytest.mark.anyio
 async def test_entries_register_and_unregister():
     """Guards against entries that stay registered after they have stopped.
