Refuse configurations with numbers out of range

A configuration with a deeply nested resource ended the entry with RecursionError. One with a negative time, a target latency or weights of 0, a huge count, a version that is not eight hexadecimal digits or a health path with a line break came into force: the entry then failed on each request (ZeroDivisionError, ValueError from the choice of a service) or wrote the path into its health checks.

The reader checked types only.

Twelve of the new cases failed before: eleven configurations were decoded to a route table, and one raised "RecursionError: maximum recursion depth exceeded while deserializing an object".

--- a/copperyard/platform/operator_records.py
+++ b/copperyard/platform/operator_records.py
@@ -1,6 +1,7 @@
 """Decodes the operator's configuration; names the keys of its records."""
 
-from typing import Final
+import re
+from typing import Annotated, Final
 
 import msgspec
 
@@ -18,6 +19,17 @@
 EVACUATION_PREFIX: Final = 'evacuate/'
 
 _IDEMPOTENT: Final = 'safe'
+_VERSION_PATTERN: Final = re.compile('[0-9a-fA-F]{8}')
+# Health paths are sent in request lines.
+_PATH_PATTERN: Final = r'\A/[!-~]*\Z'
+_COUNT_MAX: Final = 2**53
+_SECONDS_MAX: Final = 1_000_000_000
+# Estimates of processing times are divided by the target latency.
+_LATENCY_MIN_S: Final = 1e-6
+
+_Count = Annotated[int, msgspec.Meta(ge=0, le=_COUNT_MAX)]
+_Seconds = Annotated[float, msgspec.Meta(ge=0, le=_SECONDS_MAX)]
+_Ratio = Annotated[float, msgspec.Meta(ge=0, le=_COUNT_MAX)]
 
 
 class _Metadata(msgspec.Struct, frozen=True):
@@ -26,7 +38,7 @@
 
 class _SplitPart(msgspec.Struct, frozen=True):
     service: str
-    weight: float
+    weight: _Ratio
 
 
 class _RouteSpec(msgspec.Struct, frozen=True, rename='kebab'):
@@ -34,27 +46,29 @@
     path_prefix: str
     # "safe" if requests are idempotent.
     type: str
-    timeout_s: float
-    target_latency_s: float
-    priority: int = 0
-    max_attempts: int = 1
+    timeout_s: _Seconds
+    target_latency_s: Annotated[
+        float, msgspec.Meta(ge=_LATENCY_MIN_S, le=_SECONDS_MAX)
+    ]
+    priority: _Count = 0
+    max_attempts: _Count = 1
     service: str = ''
     traffic_split: tuple[_SplitPart, ...] = ()
 
 
 class _ServiceSpec(msgspec.Struct, frozen=True, rename='kebab'):
-    health_path: str = '/health'
+    health_path: Annotated[str, msgspec.Meta(pattern=_PATH_PATTERN)] = '/health'
     # Connections from all entries together, not per entry.
-    max_connections: int = 100
-    warmup_s: float = 0.0
-    warmup_per_s: float = 0.0
+    max_connections: _Count = 100
+    warmup_s: _Seconds = 0.0
+    warmup_per_s: _Ratio = 0.0
 
 
 class _LimitsSpec(msgspec.Struct, frozen=True, rename='kebab'):
-    max_header_bytes: int
-    max_body_bytes: int
-    header_timeout_s: float
-    idle_timeout_s: float
+    max_header_bytes: _Count
+    max_body_bytes: _Count
+    header_timeout_s: _Seconds
+    idle_timeout_s: _Seconds
 
 
 class _Resource(msgspec.Struct, frozen=True, rename='kebab'):
@@ -79,7 +93,7 @@
         return _build_route_table(
             msgspec.json.decode(value, type=_Configuration)
         )
-    except (msgspec.DecodeError, ValueError):
+    except (msgspec.DecodeError, ValueError, RecursionError):
         return None
 
 
@@ -95,8 +109,10 @@
                 services.append(_build_service(resource))
             case 'limits':
                 limits = _build_limits(resource)
-    version = int(configuration.config_version, 16)
-    return RouteTable(version, routes, services, limits)
+    version = configuration.config_version
+    if not _VERSION_PATTERN.fullmatch(version):
+        raise ValueError(f'invalid version {version!r}')
+    return RouteTable(int(version, 16), routes, services, limits)
 
 
 def _build_route(resource: _Resource) -> Route:
@@ -105,6 +121,8 @@
         WeightedService(part.service, part.weight)
         for part in spec.traffic_split
     )
+    if len(parts) > 1 and not any(part.weight for part in parts):
+        raise ValueError('all weights of a traffic split are 0')
     return Route(
         name=resource.metadata.name,
         host=spec.host.lower(),
--- a/tests/test_platform_records.py
+++ b/tests/test_platform_records.py
@@ -2,6 +2,7 @@
 
 import json
 from base64 import b64encode
+from random import Random
 
 import anyio
 import pytest
@@ -35,6 +36,7 @@
 )
 from copperyard.platform.settings import decode_settings, load_entry_settings
 from copperyard.platform.store import PlatformStore
+from copperyard.processing_times import ProcessingTime
 from copperyard.server_loads import LoadSample
 from copperyard.server_table import ServerGone, ServerReport
 from tests.standins.platform import (
@@ -232,12 +234,76 @@
     ]
 
 
-@pytest.mark.parametrize('value', [b'', b'{}', b'{"config-version":"zz"}'])
+def encode_changed_configuration(index, changes):
+    """Encode a configuration with changed fields of one resource."""
+    content = build_configuration()
+    content['resources'][index]['spec'].update(changes)
+    return json.dumps(content).encode()
+
+
+@pytest.mark.parametrize(
+    'value',
+    [
+        b'',
+        b'{}',
+        b'{"config-version":"zz"}',
+        b'{"config-version":"-1","resources":[]}',
+        b'{"config-version":"%s","resources":[]}' % (b'f' * 5000),
+        b'{"config-version":"00000001","resources":%s' % (b'[' * 100_000),
+        b'{"config-version":"00000001","resources":[{"resource-kind":"routes",'
+        b'"spec":%s%s}]}' % (b'[' * 100_000, b']' * 100_000),
+        encode_changed_configuration(0, {'timeout-s': float('nan')}),
+        encode_changed_configuration(0, {'timeout-s': -1}),
+        encode_changed_configuration(0, {'target-latency-s': 0}),
+        encode_changed_configuration(0, {'max-attempts': -(10**400)}),
+        encode_changed_configuration(
+            0, {'traffic-split': [{'service': 'x', 'weight': 0}] * 2}
+        ),
+        encode_changed_configuration(3, {'health-path': '/x\r\ny: z\n'}),
+        encode_changed_configuration(3, {'health-path': '/\xe9'}),
+        encode_changed_configuration(3, {'warmup-per-s': 1e300}),
+        encode_changed_configuration(3, {'max-connections': 10**30}),
+        encode_changed_configuration(4, {'idle-timeout-s': 1e300}),
+    ],
+)
 def test_invalid_configuration_is_none(value):
     """Guards against an exception, or empty routes, from an invalid record."""
     assert decode_configuration(value) is None
 
 
+@settings(derandomize=True, deadline=None)
+@given(
+    st.integers(0, 4),
+    st.sampled_from(
+        [
+            'host',
+            'path-prefix',
+            'type',
+            'timeout-s',
+            'target-latency-s',
+            'priority',
+            'max-attempts',
+            'traffic-split',
+            'health-path',
+            'max-connections',
+            'warmup-per-s',
+            'max-header-bytes',
+        ]
+    ),
+    json_values,
+)
+def test_configuration_with_any_field_is_usable_or_invalid(index, name, value):
+    """Guards against a configuration that fails only when it is used."""
+    content = encode_changed_configuration(index, {name: value})
+    table = decode_configuration(content)
+    if table is not None:
+        for route in table.list_routes():
+            route.choose_service(Random(1))
+            ProcessingTime(route.target_latency_s).find_slowness_max(1.0)
+        for service in table.services_by_name.values():
+            service.health_path.encode('ascii')
+
+
 def test_operator_records_are_decoded_by_name():
     """Guards against records that are taken for another kind.
 
@@ -253,6 +319,7 @@
             ('evacuate/a', b''),
             ('config', b'??'),
             ('other', b'{}'),
+            ('evacuate/\ufffd', b'{}'),
         )
     ]
     assert isinstance(decoded[0], ConfigurationChange)
