Refuse settings out of range, and leave out bad seeds

A settings file with a seed whose port is no number stopped the entry at its start, and at its next reload, with ValueError; a deeply nested file did so with RecursionError. A grace time that is not a number, a negative budget, a window of 0, a port above 65535 or an address that is none were accepted and failed later, in the first request or while stopping.

Only the types of settings were checked. Numbers now have ranges, an address must be an IP address with a port, and the entry's own IP address an IPv4 one, as its sockets require. Such a file is refused with the name of the field, and a running entry keeps its settings. A bad seed is only left out. The settings of the other programs get the same ranges.

--- a/copperyard/platform/settings.py
+++ b/copperyard/platform/settings.py
@@ -1,20 +1,33 @@
 """Decodes the settings file of the platform into ``EntrySettings``."""
 
+import ipaddress
 import tomllib
 from pathlib import Path
-from typing import Any, Final, TypeVar
+from typing import Annotated, Any, Final, TypeVar, cast
 
 import msgspec
 from returns.result import Failure, Result, Success
 
 from copperyard.entry_settings import EntryBounds, EntrySettings
 from copperyard.exceptions import SettingsError
-from copperyard.settings import split_address
+from copperyard.settings import is_address
 
 SETTINGS_VARIABLE: Final = 'COPPERYARD_CONFIG'
 
 # Descriptors that the platform reserves for files; the others are for sockets.
 _FILE_DESCRIPTORS: Final = 200
+_DESCRIPTORS_MAX: Final = 2**31 - 1
+_BOUND_MAX: Final = 1_000_000_000
+# Retries are counted in parts of the window.
+_WINDOW_MIN_S: Final = 0.001
+
+_Port = Annotated[int, msgspec.Meta(ge=1, le=2**16 - 1)]
+_Descriptors = Annotated[int, msgspec.Meta(ge=1, le=_DESCRIPTORS_MAX)]
+_Bound = Annotated[float, msgspec.Meta(ge=0, le=_BOUND_MAX)]
+_Window = Annotated[float, msgspec.Meta(ge=_WINDOW_MIN_S, le=_BOUND_MAX)]
+
+# Longest part of an invalid value in an error message.
+_DESCRIPTION_LENGTH_MAX: Final = 100
 
 _Value = TypeVar('_Value')
 
@@ -26,28 +39,50 @@
         self.error: SettingsError | None = None
         self._raw = raw
 
-    def read(
-        self, path: str, value_type: type[_Value], default: _Value
-    ) -> _Value:
+    def read(self, path: str, value_type: Any, default: _Value) -> _Value:
         found: Any = self._raw
         for key in path.split('.'):
             found = found.get(key) if isinstance(found, dict) else None
         try:
-            return msgspec.convert(found, value_type)
-        except msgspec.ValidationError:
-            if self.error is None:
-                self.error = SettingsError(
-                    path, value_type.__name__, repr(found)
-                )
+            return cast(_Value, msgspec.convert(found, value_type))
+        except msgspec.ValidationError as error:
+            self._keep_error(path, str(error), found)
             return default
 
+    def read_ip(self, path: str) -> str:
+        ip = self.read(path, str, '')
+        if not _is_ipv4(ip):
+            self._keep_error(path, 'IPv4 address', ip)
+        return ip
+
     def read_address(self, path: str) -> str:
         address = self.read(path, str, '')
-        host, _, port = address.rpartition(':')
-        if self.error is None and not (host and port.isdigit()):
-            self.error = SettingsError(path, 'ip:port', repr(address))
+        if not is_address(address):
+            self._keep_error(path, 'ip:port', address)
         return address
 
+    def _keep_error(self, path: str, expected: str, found: object) -> None:
+        if self.error is None:
+            self.error = SettingsError(
+                path, expected.removeprefix('Expected '), _describe(found)
+            )
+
+
+def _describe(found: object) -> str:
+    try:
+        return repr(found)[:_DESCRIPTION_LENGTH_MAX]
+    except ValueError:
+        # Integers of thousands of digits cannot be converted to decimal.
+        return type(found).__name__
+
+
+def _is_ipv4(ip: str) -> bool:
+    try:
+        ipaddress.IPv4Address(ip)
+    except ValueError:
+        return False
+    return True
+
 
 def load_entry_settings(path: Path) -> Result[EntrySettings, SettingsError]:
     """Read and decode a settings file.
@@ -61,7 +96,7 @@
         raw = tomllib.loads(path.read_text())
     except OSError as error:
         return Failure(SettingsError('$', 'a readable file', str(error)))
-    except ValueError as error:
+    except (ValueError, RecursionError) as error:
         return Failure(SettingsError('$', 'valid TOML', str(error)))
     return decode_settings(raw)
 
@@ -75,9 +110,10 @@
     :returns: the settings, or the error in the first invalid field.
     """
     reader = _FieldReader(raw)
+    seeds: list[str] = reader.read('seeds', list[str], [])
     settings = EntrySettings(
         entry_id=reader.read('node-name', str, ''),
-        ip=reader.read('ip', str, ''),
+        ip=reader.read_ip('ip'),
         # The platform calls a failure domain a zone.
         failure_domain=reader.read('zone', str, ''),
         # Callers connect to the "edge-address".
@@ -88,18 +124,17 @@
         # First and last port of the range; only the first one is used.
         entry_port=reader.read(
             'internal-port-range',
-            tuple[int, int],
+            tuple[_Port, _Port],
             (0, 0),
         )[0],
         # "seeds" are the "admin" addresses of entries; only the IP is used.
+        # Those that are not an IP address are left out when they are contacted.
         seed_ips=tuple(
-            split_address(seed)[0]
-            for seed in reader.read('seeds', list[str], [])
-            if ':' in seed
+            seed.rpartition(':')[0] for seed in seeds if ':' in seed
         ),
         store_address=reader.read_address('platform.address'),
         max_descriptors=(
-            reader.read('limits.max-fds', int, 0) - _FILE_DESCRIPTORS
+            reader.read('limits.max-fds', _Descriptors, 0) - _FILE_DESCRIPTORS
         ),
         bounds=_read_bounds(reader),
     )
@@ -110,10 +145,10 @@
 
 def _read_bounds(reader: _FieldReader) -> EntryBounds:
     return EntryBounds(
-        grace_s=reader.read('bounds.grace-s', float, 0.0),
-        retry_ratio=reader.read('bounds.retry-budget-ratio', float, 0.0),
+        grace_s=reader.read('bounds.grace-s', _Bound, 0.0),
+        retry_ratio=reader.read('bounds.retry-budget-ratio', _Bound, 0.0),
         # "budget-slack" is a number of retries per window, not a ratio.
-        retry_slack=reader.read('bounds.budget-slack', float, 0.0),
-        retry_window_s=reader.read('bounds.budget-window-s', float, 0.0),
-        lookup_ttl_max_s=reader.read('bounds.ttl_max_s', float, 0.0),
+        retry_slack=reader.read('bounds.budget-slack', _Bound, 0.0),
+        retry_window_s=reader.read('bounds.budget-window-s', _Window, 0.0),
+        lookup_ttl_max_s=reader.read('bounds.ttl_max_s', _Bound, 0.0),
     )
--- a/copperyard/settings.py
+++ b/copperyard/settings.py
@@ -5,7 +5,7 @@
 import re
 from dataclasses import dataclass, field
 from pathlib import Path
-from typing import Final, TypeVar
+from typing import Annotated, Final, TypeAlias, TypeVar
 
 import msgspec
 from returns.result import Failure, Result, Success
@@ -15,6 +15,14 @@
 _Settings = TypeVar('_Settings')
 # Limits the length, because ``int`` refuses thousands of digits.
 _PORT_PATTERN: Final = re.compile('[0-9]{1,5}')
+_SECONDS_MAX: Final = 1_000_000_000
+_QUEUE_LENGTH_MAX: Final = 2**31 - 1
+
+_Port: TypeAlias = Annotated[int, msgspec.Meta(ge=1, le=2**16 - 1)]
+_Seconds: TypeAlias = Annotated[float, msgspec.Meta(ge=0, le=_SECONDS_MAX)]
+_QueueLength: TypeAlias = Annotated[
+    int, msgspec.Meta(ge=0, le=_QUEUE_LENGTH_MAX)
+]
 
 
 @dataclass(frozen=True, slots=True)
@@ -27,7 +35,7 @@
     """
 
     host: str = ''
-    port: int = 8125
+    port: _Port = 8125
     prefix: str = 'copperyard'
 
 
@@ -49,8 +57,8 @@
     caller_address: str
     proxy_address: str
     agent_address: str
-    queue_length: int = 256
-    drain_s: float = 30.0
+    queue_length: _QueueLength = 256
+    drain_s: _Seconds = 30.0
     log_level: str = 'info'
     statsd: StatsdSettings = field(default_factory=StatsdSettings)
 
@@ -85,7 +93,7 @@
     log_url: str
     vm_list_url: str
     seed_addresses: tuple[str, ...] = ()
-    drain_s: float = 30.0
+    drain_s: _Seconds = 30.0
     log_level: str = 'info'
     statsd: StatsdSettings = field(default_factory=StatsdSettings)
 
@@ -101,7 +109,7 @@
 
     operator: str
     agent_urls: tuple[str, ...]
-    timeout_s: float = 10.0
+    timeout_s: _Seconds = 10.0
 
 
 def load_settings(
@@ -118,7 +126,7 @@
         raw = json.loads(path.read_text())
     except OSError as error:
         return Failure(SettingsError('$', 'a readable file', str(error)))
-    except ValueError as error:
+    except (ValueError, RecursionError) as error:
         return Failure(SettingsError('$', 'valid JSON', str(error)))
     return check_settings(raw, kind)
 
--- a/tests/test_platform_records.py
+++ b/tests/test_platform_records.py
@@ -5,10 +5,11 @@
 from random import Random
 
 import anyio
+import hypothesis
 import pytest
-from hypothesis import HealthCheck, given, settings
+from hypothesis import HealthCheck, given
 from hypothesis import strategies as st
-from returns.result import Failure
+from returns.result import Failure, Success
 
 from copperyard.clock import seconds_since_boot
 from copperyard.entry_messages import (
@@ -190,7 +191,7 @@
     assert is_invalid(key, value)
 
 
-@settings(derandomize=True, deadline=None)
+@hypothesis.settings(derandomize=True, deadline=None)
 @given(json_fields)
 def test_registration_with_any_fields_is_decoded_or_invalid(fields):
     """Guards against a registration that ends the reading of all others.
@@ -271,7 +272,7 @@
     assert decode_configuration(value) is None
 
 
-@settings(derandomize=True, deadline=None)
+@hypothesis.settings(derandomize=True, deadline=None)
 @given(
     st.integers(0, 4),
     st.sampled_from(
@@ -374,6 +375,19 @@
         ('internal-port-range', 'x'),
         ('internal-port-range', []),
         ('seeds', None),
+        ('ip', 'here'),
+        ('ip', '::1'),
+        ('platform', {'address': '10.0.0.200:99999'}),
+        ('platform', {'address': '10.0.0.200:\u00b2'}),
+        ('platform', {'address': f'10.0.0.200:{"9" * 5000}'}),
+        ('internal-port-range', [-4, 9]),
+        ('internal-port-range', [10**30, 9]),
+        ('limits', {'max-fds': -10}),
+        ('bounds', {**SETTINGS['bounds'], 'grace-s': float('nan')}),
+        ('bounds', {**SETTINGS['bounds'], 'grace-s': float('inf')}),
+        ('bounds', {**SETTINGS['bounds'], 'budget-slack': -1}),
+        ('bounds', {**SETTINGS['bounds'], 'budget-window-s': 0}),
+        ('bounds', {**SETTINGS['bounds'], 'ttl_max_s': 10**400}),
     ],
 )
 def test_invalid_setting_is_named(path, value):
@@ -384,14 +398,36 @@
     failure = decode_settings({**SETTINGS, path: value})
     assert isinstance(failure, Failure)
     assert failure.failure().path.startswith(path)
+    assert len(str(failure.failure())) < 300
+
+
+@pytest.mark.parametrize('seed', ['10.0.0.1:x', '[:x', f'1:{"9" * 5000}'])
+def test_invalid_seed_does_not_refuse_the_others(seed):
+    """Guards against an entry that cannot start because of one bad seed."""
+    raw = {**SETTINGS, 'seeds': [seed, '10.0.0.2:8166']}
+    assert '10.0.0.2' in decode_settings(raw).unwrap().seed_ips
 
 
 def test_unreadable_settings_file_fails(tmp_path):
     """Guards against an exception from a missing file or invalid TOML."""
     assert isinstance(load_entry_settings(tmp_path / 'none'), Failure)
     broken = tmp_path / 'broken.toml'
-    broken.write_text('= 1')
-    assert isinstance(load_entry_settings(broken), Failure)
+    for content in (
+        b'= 1',
+        b'\xff\xfe',
+        b'x=' + b'[' * 5000,
+        b'x=' + b'9' * 5000,
+    ):
+        broken.write_bytes(content)
+        assert isinstance(load_entry_settings(broken), Failure)
+
+
+@hypothesis.settings(derandomize=True, deadline=None)
+@given(st.sampled_from(sorted(SETTINGS)), json_values)
+def test_any_setting_is_accepted_or_refused(name, value):
+    """Guards against an exception from a setting of any type."""
+    decoded = decode_settings({**SETTINGS, name: value})
+    assert isinstance(decoded, Success | Failure)
 
 
 def test_lookup_is_decoded_and_answered():
@@ -543,7 +579,7 @@
     assert isinstance(await store.read_servers(None), StoreUnavailable)
 
 
-@settings(
+@hypothesis.settings(
     derandomize=True,
     deadline=None,
     suppress_health_check=[HealthCheck.function_scoped_fixture],
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -40,6 +40,11 @@
         ('caller_address', '127.0.0.1:0', '$.caller_address'),
         ('queue_lenght', 4, '$.queue_lenght'),
         ('statsd', {'port': 'x'}, '$.statsd.port'),
+        ('statsd', {'port': 10**9}, '$.statsd.port'),
+        ('caller_address', '127.0.0.1:\u00b2', '$.caller_address'),
+        ('drain_s', float('nan'), '$.drain_s'),
+        ('drain_s', -1, '$.drain_s'),
+        ('queue_length', 10**30, '$.queue_length'),
     ],
 )
 def test_invalid_value_is_reported_with_its_key(key, faulty, path):
@@ -68,6 +73,9 @@
     """
     assert load_settings(tmp_path / 'none.json', OperatorSettings).failure()
     broken = tmp_path / 'broken.json'
+    for content in (b'[' * 100_000, b'"\xff"', b'9' * 5000):
+        broken.write_bytes(content)
+        assert 'JSON' in str(load_settings(broken, OperatorSettings).failure())
     broken.write_text('{')
     assert 'JSON' in str(load_settings(broken, OperatorSettings).failure())
     good = tmp_path / 'good.json'
