--- a/copperyard/entry_messages.py
+++ b/copperyard/entry_messages.py
@@ -1,15 +1,37 @@
 """Datagrams and snapshots exchanged between entries."""
 
-from typing import Final, TypeAlias
+from typing import Annotated, Final, TypeAlias
 
 import msgspec
 
 from copperyard.metadata_store import OperatorRecord
-from copperyard.server_table import ServerChange, ServerReport
+from copperyard.server_table import (
+    OFFSET_MAX,
+    SLOTS_MAX,
+    Name,
+    Number,
+    ServerChange,
+    ServerGone,
+    ServerReport,
+    has_valid_address,
+)
+from copperyard.settings import is_ipv4
 
 # Larger datagrams are fragmented by the network, and one lost fragment loses
 # the whole datagram.
 DATAGRAM_MAX_BYTES: Final = 8192
+# More than any entry lists in a heartbeat.
+LISTED_IPS_MAX: Final = 64
+ACTIVE_REQUESTS_MAX: Final = 1_000_000
+SLOWNESS_MAX: Final = 1_000_000
+
+_AGE_MAX_S: Final = 1_000_000_000
+
+# Offset after the last record that was read; -1 if none was read yet.
+_End: TypeAlias = Annotated[int, msgspec.Meta(ge=-1, le=OFFSET_MAX)]
+_Age: TypeAlias = Annotated[float, msgspec.Meta(ge=0, le=_AGE_MAX_S)]
+# Infinite if nothing was read yet.
+_AgeIfRead: TypeAlias = Annotated[float, msgspec.Meta(ge=0)]
 
 
 class Heartbeat(msgspec.Struct, frozen=True, array_like=True, tag='beat'):
@@ -26,11 +48,13 @@
     """
 
     ip: str
-    failure_domain: str
+    failure_domain: Name
     is_ready: bool
-    operator_end: int
-    operator_age_s: float
-    known_ips: tuple[str, ...] = ()
+    operator_end: _End
+    operator_age_s: _AgeIfRead
+    known_ips: Annotated[
+        tuple[str, ...], msgspec.Meta(max_length=LISTED_IPS_MAX)
+    ] = ()
 
 
 class ServerUpdate(msgspec.Struct, frozen=True, array_like=True, tag='servers'):
@@ -43,9 +67,9 @@
         repeat the previous one.
     """
 
-    start: int
-    end: int
-    age_s: float
+    start: _End
+    end: _End
+    age_s: _Age
     changes: tuple[ServerChange, ...]
 
 
@@ -68,6 +92,19 @@
     age_s: float
 
 
+def is_plausible(report: LoadReport) -> bool:
+    """Return whether all numbers of a load report are in range.
+
+    :param report: a load report, received or about to be sent.
+    """
+    return (
+        0 <= report.active_requests <= ACTIVE_REQUESTS_MAX
+        and 1 <= report.slots <= SLOTS_MAX
+        and 0 < report.slowness <= SLOWNESS_MAX
+        and 0 <= report.age_s <= _AGE_MAX_S
+    )
+
+
 class OutcomeCounts(msgspec.Struct, frozen=True, array_like=True):
     """Outcomes of requests to one backend server.
 
@@ -78,8 +115,8 @@
     """
 
     server_id: str
-    successes: int
-    failures: int
+    successes: Number
+    failures: Number
 
 
 class LoadUpdate(msgspec.Struct, frozen=True, array_like=True, tag='loads'):
@@ -119,10 +156,10 @@
     :param servers: the newest report of each server.
     """
 
-    operator_end: int
+    operator_end: _End
     operator_records: tuple[OperatorRecord, ...]
-    servers_end: int
-    servers_age_s: float
+    servers_end: _End
+    servers_age_s: _Age
     servers: tuple[ServerReport, ...]
 
 
@@ -145,9 +182,10 @@
     :returns: the datagram; ``None`` if it cannot be decoded.
     """
     try:
-        return _DATAGRAM_DECODER.decode(content)
-    except msgspec.DecodeError:
+        message = _DATAGRAM_DECODER.decode(content)
+    except (msgspec.DecodeError, RecursionError):
         return None
+    return message if _is_consistent(message) else None
 
 
 def decode_snapshot(content: bytes) -> Snapshot | None:
@@ -157,6 +195,23 @@
     :returns: the snapshot; ``None`` if it cannot be decoded.
     """
     try:
-        return _SNAPSHOT_DECODER.decode(content)
-    except msgspec.DecodeError:
+        snapshot = _SNAPSHOT_DECODER.decode(content)
+    except (msgspec.DecodeError, RecursionError):
         return None
+    return snapshot if all(map(has_valid_address, snapshot.servers)) else None
+
+
+def _is_consistent(message: Datagram) -> bool:
+    match message:
+        case Heartbeat(ip=ip) | Goodbye(ip=ip):
+            return is_ipv4(ip)
+        case ServerUpdate(changes=changes, end=end):
+            return all(_is_usable(change, end) for change in changes)
+        case LoadUpdate():
+            return True
+
+
+def _is_usable(change: ServerChange, end: int) -> bool:
+    if change.offset >= end:
+        return False
+    return isinstance(change, ServerGone) or has_valid_address(change)
--- a/copperyard/entry_peers.py
+++ b/copperyard/entry_peers.py
@@ -21,9 +21,11 @@
     ServerUpdate,
     decode_datagram,
     encode_message,
+    is_plausible,
 )
 from copperyard.logs import log_event
 from copperyard.server_loads import LoadSample
+from copperyard.settings import is_ipv4
 from copperyard.store_replica import StoreReplica
 
 # Short compared with the seconds for which callers cache a lookup.
@@ -129,6 +131,11 @@
             *self._tries_by_ip,
         }
         new_ips = [ip for ip in ips if ip not in known_ips]
+        for ip in new_ips:
+            if not is_ipv4(ip):
+                self._board.metrics.count('entry_ip.damaged')
+                log_event('entry_ip_damaged', entry=ip)
+        new_ips = list(filter(is_ipv4, new_ips))
         if not new_ips:
             return
         content = encode_message(self._build_heartbeat(self._board.clock()))
@@ -165,6 +172,7 @@
             message = decode_datagram(content)
             if message is None:
                 self._board.metrics.count('datagram.damaged')
+                log_event('datagram_damaged', bytes=len(content))
             else:
                 self._handle(message)
 
@@ -213,7 +221,7 @@
 
     def _take_load_update(self, now: float) -> LoadUpdate:
         board = self._board
-        reports = tuple(
+        reports = (
             LoadReport(
                 server_id,
                 sample.active_requests,
@@ -223,12 +231,13 @@
             )
             for server_id, (sample, sampled_at) in board.unsent_samples.items()
         )
+        valid_reports = tuple(filter(self._is_valid_report, reports))
         sent_ids = tuple(board.unsent_sends)
         outcomes = _count_outcomes(board.unsent_outcomes)
         board.unsent_samples.clear()
         board.unsent_sends.clear()
         board.unsent_outcomes.clear()
-        return LoadUpdate(reports, sent_ids, outcomes)
+        return LoadUpdate(valid_reports, sent_ids, outcomes)
 
     def _handle(self, message: Datagram) -> None:
         now = self._board.clock()
@@ -269,7 +278,7 @@
             )
 
     def _apply_load_update(self, update: LoadUpdate, now: float) -> None:
-        for report in update.reports:
+        for report in filter(self._is_valid_report, update.reports):
             load = self._board.loads_by_id.get(report.server_id)
             if load is not None:
                 sample = LoadSample(
@@ -286,6 +295,14 @@
             if load is not None:
                 load.record_outcomes(counts.successes, counts.failures, now)
 
+    def _is_valid_report(self, report: LoadReport) -> bool:
+        """Return whether a load report is in range; log it otherwise."""
+        if is_plausible(report):
+            return True
+        self._board.metrics.count('load_report.damaged')
+        log_event('load_report_damaged', server=report.server_id)
+        return False
+
     def _build_heartbeat(self, now: float) -> Heartbeat:
         ips = list(self.peers_by_ip)
         known_ips = self._random.sample(ips, min(KNOWN_IPS_MAX, len(ips)))
--- a/copperyard/metadata_store.py
+++ b/copperyard/metadata_store.py
@@ -1,15 +1,12 @@
 """Interface of the metadata store, and the records read from it."""
 
 from dataclasses import dataclass
-from typing import Final, Protocol, TypeAlias
+from typing import Annotated, Protocol, TypeAlias
 
 import msgspec
 
 from copperyard.routes import RouteTable
-from copperyard.server_table import ServerChange
-
-# Largest valid offset; a little above it, it still fits into 64 bits.
-OFFSET_MAX: Final = 2**62
+from copperyard.server_table import OFFSET_MAX, ServerChange
 
 
 class OperatorRecord(msgspec.Struct, frozen=True, array_like=True):
@@ -22,7 +19,8 @@
 
     name: str
     value: bytes
-    offset: int
+    # -1 for a record that is missing in a log without records.
+    offset: Annotated[int, msgspec.Meta(ge=-1, le=OFFSET_MAX)]
 
 
 @dataclass(frozen=True, slots=True)
--- a/copperyard/platform/server_registrations.py
+++ b/copperyard/platform/server_registrations.py
@@ -1,38 +1,35 @@
 """Decodes the registrations that backend servers write to the store."""
 
-import re
-from typing import Annotated, Final
+from typing import Final
 
 import msgspec
 
-from copperyard.server_table import ServerChange, ServerGone, ServerReport
-from copperyard.settings import is_address
+from copperyard.server_table import (
+    ColdTime,
+    Name,
+    Number,
+    ServerChange,
+    ServerGone,
+    ServerReport,
+    Slots,
+    has_valid_address,
+)
 
 _DRAINING: Final = 'draining'
 _STATES: Final = frozenset(('ready', _DRAINING))
-# Ids are sent in a header of each request.
-_ID_PATTERN: Final = re.compile('[!-~]{1,128}')
-# Entries exchange these numbers as 64-bit integers.
-_INTEGER_MAX: Final = 2**63 - 1
-_CAPACITY_MAX: Final = 1_000_000
-_COLD_MAX_S: Final = 86_400
-_NAME_LENGTH_MAX: Final = 256
-
-_Name = Annotated[str, msgspec.Meta(max_length=_NAME_LENGTH_MAX)]
-_Number = Annotated[int, msgspec.Meta(ge=0, le=_INTEGER_MAX)]
 
 
 class _ServerInfo(msgspec.Struct, frozen=True):
-    service: _Name
-    zone: _Name
-    capacity: Annotated[int, msgspec.Meta(ge=1, le=_CAPACITY_MAX)]
+    service: Name
+    zone: Name
+    capacity: Slots
 
 
 class _ServerStatus(msgspec.Struct, frozen=True, rename='kebab'):
     state: str
-    sequence: _Number
+    sequence: Number
     # Remaining time for which the server is cold, not its uptime.
-    warmup_left_s: Annotated[float, msgspec.Meta(ge=0, le=_COLD_MAX_S)] = 0
+    warmup_left_s: ColdTime = 0
 
 
 class _ServerRegistration(msgspec.Struct, frozen=True):
@@ -40,7 +37,7 @@
     info: _ServerInfo
     status: _ServerStatus
     # Start of the server in Unix milliseconds, not a version number.
-    born: _Number = 0
+    born: Number = 0
 
 
 _DECODER: Final = msgspec.json.Decoder(_ServerRegistration)
@@ -62,9 +59,7 @@
         registration = _DECODER.decode(value)
     except (msgspec.DecodeError, UnicodeDecodeError, RecursionError):
         return ServerGone(key, offset)
-    if not _is_valid(key, registration):
-        return ServerGone(key, offset)
-    return ServerReport(
+    report = ServerReport(
         server_id=key,
         service=registration.info.service,
         address=registration.address,
@@ -76,6 +71,10 @@
         sequence=registration.status.sequence,
         offset=offset,
     )
+    is_valid = registration.status.state in _STATES
+    if is_valid and has_valid_address(report):
+        return report
+    return ServerGone(key, offset)
 
 
 def is_invalid(key: str, value: bytes) -> bool:
@@ -87,11 +86,3 @@
     return bool(value) and isinstance(
         decode_server_registration(key, value, 0), ServerGone
     )
-
-
-def _is_valid(key: str, registration: _ServerRegistration) -> bool:
-    return (
-        _ID_PATTERN.fullmatch(key) is not None
-        and registration.status.state in _STATES
-        and is_address(registration.address)
-    )
--- a/copperyard/platform/settings.py
+++ b/copperyard/platform/settings.py
@@ -1,6 +1,5 @@
 """Decodes the settings file of the platform into ``EntrySettings``."""
 
-import ipaddress
 import tomllib
 from pathlib import Path
 from typing import Annotated, Any, Final, TypeVar, cast
@@ -10,7 +9,7 @@
 
 from copperyard.entry_settings import EntryBounds, EntrySettings
 from copperyard.exceptions import SettingsError
-from copperyard.settings import is_address
+from copperyard.settings import is_address, is_ipv4
 
 SETTINGS_VARIABLE: Final = 'COPPERYARD_CONFIG'
 
@@ -51,7 +50,7 @@
 
     def read_ip(self, path: str) -> str:
         ip = self.read(path, str, '')
-        if not _is_ipv4(ip):
+        if not is_ipv4(ip):
             self._keep_error(path, 'IPv4 address', ip)
         return ip
 
@@ -76,14 +75,6 @@
         return type(found).__name__
 
 
-def _is_ipv4(ip: str) -> bool:
-    try:
-        ipaddress.IPv4Address(ip)
-    except ValueError:
-        return False
-    return True
-
-
 def load_entry_settings(path: Path) -> Result[EntrySettings, SettingsError]:
     """Read and decode a settings file.
 
--- a/copperyard/platform/store.py
+++ b/copperyard/platform/store.py
@@ -3,7 +3,7 @@
 import json
 import struct
 from collections.abc import Mapping
-from typing import Annotated, Any, Final
+from typing import Any, Final
 from urllib.parse import urlencode
 
 import msgspec
@@ -13,7 +13,6 @@
 from copperyard.http_calls import call_http, describe_failure
 from copperyard.logs import log_event
 from copperyard.metadata_store import (
-    OFFSET_MAX,
     ConfigurationChange,
     DomainChange,
     OperatorBatch,
@@ -35,7 +34,7 @@
     decode_server_registration,
     is_invalid,
 )
-from copperyard.server_table import ServerGone
+from copperyard.server_table import Offset, ServerGone
 
 # A slow store takes 60 times its usual 4 ms; a connection without a response
 # after this time counts as silent.
@@ -57,13 +56,11 @@
 # Replaces the bytes of a key that are not valid UTF-8.
 _REPLACEMENT: Final = '\ufffd'
 
-_Offset = Annotated[int, msgspec.Meta(ge=0, le=OFFSET_MAX)]
-
 
 class _StoredRecord(msgspec.Struct, frozen=True):
     # Empty if it cannot be read.
     key: str
-    offset: _Offset
+    offset: Offset
     # Base64 in JSON; absent for a deleted key.
     value: bytes = b''
 
@@ -71,13 +68,13 @@
 class _Page(msgspec.Struct, frozen=True, rename='kebab'):
     # The records; the field has the same name in the responses to other calls.
     items: tuple[_StoredRecord, ...]
-    end_offset: _Offset
+    end_offset: Offset
     has_more: bool = False
 
 
 class _UncheckedPage(msgspec.Struct, frozen=True, rename='kebab'):
     items: tuple[Any, ...]
-    end_offset: _Offset
+    end_offset: Offset
     has_more: bool = False
 
 
--- a/copperyard/server_table.py
+++ b/copperyard/server_table.py
@@ -1,11 +1,14 @@
 """Table of the backend servers registered in the metadata store."""
 
+import re
 from collections import deque
 from dataclasses import dataclass, replace
-from typing import Final, TypeAlias
+from typing import Annotated, Final, TypeAlias
 
 import msgspec
 
+from copperyard.settings import is_address
+
 # Delay of removals after an outage of the store: registrations that expired
 # during it are renewed within about 2 s after it.
 OUTAGE_REMOVAL_DELAY_S: Final = 2.3
@@ -14,6 +17,22 @@
 # How long the order of a removed server's reports is remembered: longer than
 # any datagram or read that contains one of them can be delayed.
 ORDER_RETENTION_S: Final = 60.0
+# Largest valid offset; a little above it, it still fits into 64 bits.
+OFFSET_MAX: Final = 2**62
+NAME_LENGTH_MAX: Final = 256
+SLOTS_MAX: Final = 1_000_000
+COLD_MAX_S: Final = 86_400
+
+# Ids are sent in a header of each request.
+_ID_PATTERN: Final = re.compile('[!-~]{1,128}')
+# Entries exchange numbers as 64-bit integers.
+_NUMBER_MAX: Final = 2**63 - 1
+
+Offset: TypeAlias = Annotated[int, msgspec.Meta(ge=0, le=OFFSET_MAX)]
+Number: TypeAlias = Annotated[int, msgspec.Meta(ge=0, le=_NUMBER_MAX)]
+Name: TypeAlias = Annotated[str, msgspec.Meta(max_length=NAME_LENGTH_MAX)]
+Slots: TypeAlias = Annotated[int, msgspec.Meta(ge=1, le=SLOTS_MAX)]
+ColdTime: TypeAlias = Annotated[float, msgspec.Meta(ge=0, le=COLD_MAX_S)]
 
 
 class ServerReport(msgspec.Struct, frozen=True, array_like=True, tag='report'):
@@ -33,15 +52,15 @@
     """
 
     server_id: str
-    service: str
+    service: Name
     address: str
-    failure_domain: str
-    slots: int
+    failure_domain: Name
+    slots: Slots
     is_draining: bool
-    cold_left_s: float
-    started_ms: int
-    sequence: int
-    offset: int
+    cold_left_s: ColdTime
+    started_ms: Number
+    sequence: Number
+    offset: Offset
 
 
 class ServerGone(msgspec.Struct, frozen=True, array_like=True, tag='gone'):
@@ -52,12 +71,22 @@
     """
 
     server_id: str
-    offset: int
+    offset: Offset
 
 
 ServerChange: TypeAlias = ServerReport | ServerGone
 
 
+def has_valid_address(report: ServerReport) -> bool:
+    """Return whether requests can be sent with the id and address of a report.
+
+    :param report: a report that has been decoded.
+    """
+    return _ID_PATTERN.fullmatch(report.server_id) is not None and is_address(
+        report.address
+    )
+
+
 @dataclass(frozen=True, slots=True)
 class KnownServer:
     """A registered server.
--- a/copperyard/settings.py
+++ b/copperyard/settings.py
@@ -207,3 +207,12 @@
         and _PORT_PATTERN.fullmatch(port) is not None
         and 0 < int(port) < 2**16
     )
+
+
+def is_ipv4(ip: str) -> bool:
+    """Return whether a string is an IPv4 address."""
+    try:
+        ipaddress.IPv4Address(ip)
+    except ValueError:
+        return False
+    return True
--- a/copperyard/store_poller.py
+++ b/copperyard/store_poller.py
@@ -225,5 +225,8 @@
         if not isinstance(answer, Answered) or answer.status != _OK:
             return
         snapshot = decode_snapshot(answer.body)
-        if snapshot is not None:
+        if snapshot is None:
+            self._board.metrics.count('snapshot.damaged')
+            log_event('snapshot_damaged', entry=newest.heartbeat.ip)
+        else:
             self._replica.apply_snapshot(snapshot, self._board.clock())
--- a/copperyard/store_replica.py
+++ b/copperyard/store_replica.py
@@ -22,6 +22,9 @@
 # Each update repeats the changes of this many reads, so that a lost datagram
 # leaves no gap.
 READS_PER_UPDATE: Final = 4
+# Largest distance between an update's end and the offset known here. Its reads
+# contain fewer records; a larger end is not from the log.
+UPDATE_OFFSETS_MAX: Final = 1_000_000
 # End offset of a log that has not been read yet; offsets start at 0.
 NEVER_READ: Final = -1
 
@@ -129,6 +132,10 @@
         if self.servers_end == NEVER_READ or update.start > self.servers_end:
             self.has_gap = True
             return
+        if update.end > self.servers_end + UPDATE_OFFSETS_MAX:
+            self._board.metrics.count('news.damaged')
+            log_event('server_update_damaged', end=update.end)
+            return
         read_at = now - update.age_s
         if update.end >= self.servers_end:
             self._board.server_table.record_read(read_at, now)
--- a/tests/test_platform_records.py
+++ b/tests/test_platform_records.py
@@ -200,7 +200,7 @@
     """
     value = encode_server_registration(fields)
     change = decode_server_registration('s1', value, 1)
-    update = ServerUpdate(0, 1, 0.0, (change,))
+    update = ServerUpdate(0, 2, 0.0, (change,))
     assert decode_datagram(encode_message(update)) == update
 
 
