Contain unexpected errors in an entry's controllers

An exception in any controller of an entry, in a health check or while handling one datagram cancelled the main task group and so ended the process, with all its requests. Input from the store and from other entries reaches these tasks, and some of it had not been foreseen.

Each error is logged with its traceback and counted by task in one place. A log line with a lone surrogate no longer raises UnicodeEncodeError from the logger.

--- a/copperyard/entry.py
+++ b/copperyard/entry.py
@@ -19,6 +19,7 @@
     CallerConnection,
     ListenerCallbacks,
 )
+from copperyard.containment import contain_errors, run_controller
 from copperyard.dispatching import Dispatcher
 from copperyard.entry_api import EntryApi
 from copperyard.entry_board import EntryBoard
@@ -135,14 +136,20 @@
             self._store,
             self._pool,
         )
-        group.start_soon(self._peers.receive)
-        group.start_soon(self._peers.run_heartbeats)
-        group.start_soon(self._peers.run_load_updates)
-        group.start_soon(poller.poll_operator_records)
-        group.start_soon(poller.poll_servers)
-        group.start_soon(poller.register)
-        group.start_soon(self._close_idle)
-        group.start_soon(self._settings_reloader.run)
+        controllers_by_name = {
+            'receive': self._peers.receive,
+            'heartbeats': self._peers.run_heartbeats,
+            'load_updates': self._peers.run_load_updates,
+            'operator_records': poller.poll_operator_records,
+            'servers': poller.poll_servers,
+            'registration': poller.register,
+            'close_idle': self._close_idle,
+            'settings': self._settings_reloader.run,
+        }
+        for name, controller in controllers_by_name.items():
+            group.start_soon(
+                run_controller, controller, name, self.board.metrics
+            )
 
     async def _listen(self, group: TaskGroup, api: EntryApi) -> None:
         settings = self.board.settings
@@ -211,7 +218,8 @@
                 is_leaving=self.board.is_leaving,
             )
             if signal_number == signal.SIGHUP:
-                self._settings_reloader.reload('SIGHUP')
+                with contain_errors('settings', self.board.metrics):
+                    self._settings_reloader.reload('SIGHUP')
             else:
                 self._stop_requested.set()
 
--- a/copperyard/entry_peers.py
+++ b/copperyard/entry_peers.py
@@ -9,6 +9,7 @@
 
 import anyio
 
+from copperyard.containment import contain_errors
 from copperyard.entry_board import EntryBoard
 from copperyard.entry_messages import (
     DATAGRAM_MAX_BYTES,
@@ -174,7 +175,8 @@
                 self._board.metrics.count('datagram.damaged')
                 log_event('datagram_damaged', bytes=len(content))
             else:
-                self._handle(message)
+                with contain_errors('datagram', self._board.metrics):
+                    self._handle(message)
 
     def send_server_update(self, update: ServerUpdate) -> None:
         """Send changes of backend servers to all entries.
--- a/copperyard/load_probing.py
+++ b/copperyard/load_probing.py
@@ -7,6 +7,7 @@
 from anyio.abc import TaskGroup
 
 from copperyard.attempt_types import Attempt, AttemptFailure, ServerAddress
+from copperyard.containment import contain_errors
 from copperyard.entry_board import EntryBoard
 from copperyard.exchanges import BackendPool, ForwardResult, StreamedResponse
 from copperyard.http_calls import build_request, permit_always
@@ -76,7 +77,8 @@
     async def _run(self, server: KnownServer, probe: Probe) -> None:
         server_id = server.report.server_id
         try:
-            self._apply_result(server, await self._check(server))
+            with contain_errors('probe', self._board.metrics):
+                self._apply_result(server, await self._check(server))
         finally:
             self._probes_by_id.pop(server_id, None)
             probe.completed.set()
--- a/copperyard/logs.py
+++ b/copperyard/logs.py
@@ -30,7 +30,9 @@
         line.update(getattr(record, 'fields', {}))
         if record.exc_info:
             line['exception'] = self.formatException(record.exc_info)
-        return json.dumps(line, ensure_ascii=False)
+        text = json.dumps(line, ensure_ascii=False)
+        # Lone surrogates, which UTF-8 cannot encode, become JSON escapes.
+        return text.encode('utf-8', 'backslashreplace').decode()
 
 
 def configure_logs(
@@ -74,6 +76,15 @@
         _LOGGER.log(level, event, extra={'fields': fields})
 
 
+def log_error(event: str, **fields: FieldValue) -> None:
+    """Log the exception that is being handled, with its traceback.
+
+    :param event: stable event name, such as ``'task_failed'``.
+    :param fields: fields of the event.
+    """
+    _LOGGER.exception(event, extra={'fields': fields})
+
+
 class _ProcessFieldsFilter(logging.Filter):
     def __init__(self, program: str, instance: str) -> None:
         super().__init__()
