--- a/copperyard/fault_barriers.py
+++ b/copperyard/fault_barriers.py
@@ -1,19 +1,25 @@
 """Containment of unexpected exceptions."""
 
+from collections.abc import Awaitable, Callable
 from types import TracebackType
-from typing import Self
+from typing import Final, Self
+
+import anyio
 
 from copperyard.logs import FieldValue, log_exception
 from copperyard.metrics import Metrics
 
+# Delay before a controller runs again after an exception, so that one that
+# repeats does not take all CPU time or send many calls to the store.
+RESTART_DELAY_S: Final = 0.5
+
 
 class FaultBarrier:
     """Context manager that keeps an exception from ending the process.
 
     Failures that are expected are outcomes. Any other exception in the work for
-    one request, connection or probe ends only that work, because nothing else
-    uses its state; it is logged with its traceback and counted. Cancellation
-    passes.
+    one request, connection, probe or message ends only that work; it is logged
+    with its traceback and counted. Cancellation passes.
 
     :param metrics: counters of the process.
     :param activity: what the exception ends, such as ``'request'``.
@@ -45,3 +51,23 @@
             'fault_contained', error, activity=self._activity, **self._fields
         )
         return True
+
+
+async def run_controller(
+    controller: Callable[..., Awaitable[None]],
+    name: str,
+    metrics: Metrics,
+    *arguments: object,
+) -> None:
+    """Run a controller, and run it again after an unexpected exception.
+
+    :param controller: runs until cancelled; it must be safe to run again.
+    :param name: name of the controller, for the log.
+    :param metrics: counters of the process.
+    :param arguments: arguments of the controller.
+    """
+    while True:
+        with FaultBarrier(metrics, name):
+            await controller(*arguments)
+            return
+        await anyio.sleep(RESTART_DELAY_S)
--- a/copperyard/logs.py
+++ b/copperyard/logs.py
@@ -30,7 +30,9 @@
         line.update(getattr(record, 'fields', {}))
         if record.exc_info:
             line['exception'] = self.formatException(record.exc_info)
-        return json.dumps(line, ensure_ascii=False)
+        text = json.dumps(line, ensure_ascii=False)
+        # Lone surrogates, which UTF-8 cannot encode, become JSON escapes.
+        return text.encode('utf-8', 'backslashreplace').decode()
 
 
 def configure_logs(
--- a/copperyard/platform/server_registrations.py
+++ b/copperyard/platform/server_registrations.py
@@ -1,27 +1,35 @@
 """Decodes the registrations that backend servers write to the store."""
 
-from typing import Any, Final
+from typing import Final
 
 import msgspec
 
-from copperyard.server_table import ServerChange, ServerGone, ServerReport
-from copperyard.settings import is_address
+from copperyard.server_table import (
+    ColdTime,
+    Name,
+    Number,
+    ServerChange,
+    ServerGone,
+    ServerReport,
+    Slots,
+    has_valid_address,
+)
 
 _DRAINING: Final = 'draining'
 _STATES: Final = frozenset(('ready', _DRAINING))
 
 
 class _ServerInfo(msgspec.Struct, frozen=True):
-    service: str
-    zone: str
-    capacity: int
+    service: Name
+    zone: Name
+    capacity: Slots
 
 
 class _ServerStatus(msgspec.Struct, frozen=True, rename='kebab'):
     state: str
-    sequence: int
+    sequence: Number
     # Remaining time for which the server is cold, not its uptime.
-    warmup_left_s: float = 0
+    warmup_left_s: ColdTime = 0
 
 
 class _ServerRegistration(msgspec.Struct, frozen=True):
@@ -29,7 +37,7 @@
     info: _ServerInfo
     status: _ServerStatus
     # Start of the server in Unix milliseconds, not a version number.
-    born: int = 0
+    born: Number = 0
 
 
 _DECODER: Final = msgspec.json.Decoder(_ServerRegistration)
@@ -49,11 +57,9 @@
         return ServerGone(key, offset)
     try:
         registration = _DECODER.decode(value)
-    except (msgspec.DecodeError, UnicodeDecodeError):
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError):
         return ServerGone(key, offset)
-    if not _is_valid(registration):
-        return ServerGone(key, offset)
-    return ServerReport(
+    report = ServerReport(
         server_id=key,
         service=registration.info.service,
         address=registration.address,
@@ -65,26 +71,18 @@
         sequence=registration.status.sequence,
         offset=offset,
     )
+    is_valid = registration.status.state in _STATES
+    if is_valid and has_valid_address(report):
+        return report
+    return ServerGone(key, offset)
 
 
-def is_invalid(value: bytes) -> bool:
+def is_invalid(key: str, value: bytes) -> bool:
     """Return whether a registration is present but invalid.
 
+    :param key: id of the server.
     :param value: the registration as JSON; empty if it was removed.
     """
     return bool(value) and isinstance(
-        decode_server_registration('', value, 0), ServerGone
-    )
-
-
-def _is_valid(registration: _ServerRegistration) -> bool:
-    counts: tuple[Any, ...] = (
-        registration.info.capacity,
-        registration.status.sequence + 1,
-    )
-    return (
-        registration.status.state in _STATES
-        and is_address(registration.address)
-        and all(count > 0 for count in counts)
-        and registration.status.warmup_left_s >= 0
+        decode_server_registration(key, value, 0), ServerGone
     )
--- a/tests/test_platform_records.py
+++ b/tests/test_platform_records.py
@@ -1,20 +1,33 @@
 """Decoding of the platform's records, headers and settings, and its store."""
 
 import json
+from base64 import b64encode
+from random import Random
 
+import anyio
+import hypothesis
 import pytest
-from returns.result import Failure
+from hypothesis import HealthCheck, given
+from hypothesis import strategies as st
+from returns.result import Failure, Success
 
 from copperyard.clock import seconds_since_boot
+from copperyard.entry_messages import (
+    ServerUpdate,
+    decode_datagram,
+    encode_message,
+)
 from copperyard.exchanges import BackendPool
 from copperyard.metadata_store import (
     ConfigurationChange,
     DomainChange,
     OperatorRecord,
     RecordsDeleted,
+    ServerBatch,
     StoreUnavailable,
     UnreadableRecord,
 )
+from copperyard.outcomes import Answered
 from copperyard.platform.headers import read_cold_left_s, read_load
 from copperyard.platform.lookups import encode_lookup, read_caller_domain
 from copperyard.platform.operator_records import decode_configuration
@@ -24,6 +37,7 @@
 )
 from copperyard.platform.settings import decode_settings, load_entry_settings
 from copperyard.platform.store import PlatformStore
+from copperyard.processing_times import ProcessingTime
 from copperyard.server_loads import LoadSample
 from copperyard.server_table import ServerGone, ServerReport
 from tests.standins.platform import (
@@ -71,6 +85,29 @@
 }
 
 
+json_values = st.sampled_from([-1, 2**63, 2**64, 10**400]) | st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(),
+    lambda values: st.lists(values) | st.dictionaries(st.text(), values),
+    max_leaves=5,
+)
+json_fields = st.dictionaries(
+    st.sampled_from(
+        [
+            'address',
+            'info.service',
+            'info.zone',
+            'info.capacity',
+            'status.state',
+            'status.sequence',
+            'status.warmup-left-s',
+            'born',
+        ]
+    ),
+    json_values,
+    max_size=1,
+)
+
+
 def encode_server_registration(changes):
     """Encode a server's entry with some fields changed, or removed by None."""
     entry = json.loads(json.dumps(SERVER_ENTRY))
@@ -103,7 +140,7 @@
         offset=7,
     )
     assert decode_server_registration('s1', b'', 7) == ServerGone('s1', 7)
-    assert not is_invalid(b'')
+    assert not is_invalid('s1', b'')
 
 
 @pytest.mark.parametrize(
@@ -123,6 +160,18 @@
         encode_server_registration({'status.sequence': -1}),
         encode_server_registration({'status.warmup-left-s': 'soon'}),
         encode_server_registration({'born': 'today'}),
+        b'{"x":' * 100_000,
+        b'{"address":"\\ud800"}',
+        encode_server_registration({'address': f'10.0.0.9:{"9" * 5000}'}),
+        encode_server_registration({'address': '10.0.0.9:\u00b2'}),
+        encode_server_registration({'address': 'fe80::1%\0:80'}),
+        encode_server_registration({'info.capacity': 10**18}),
+        encode_server_registration({'info.service': 'x' * 5000}),
+        encode_server_registration({'status.sequence': 10**30}),
+        encode_server_registration({'status.warmup-left-s': 1e300}),
+        encode_server_registration({'status.warmup-left-s': float('nan')}),
+        encode_server_registration({'born': 10**400}),
+        encode_server_registration({'born': -1}),
     ],
 )
 def test_invalid_server_registration_counts_as_removed(value):
@@ -131,7 +180,28 @@
     Other programs write these entries; some are incomplete or malformed.
     """
     assert isinstance(decode_server_registration('s1', value, 1), ServerGone)
-    assert is_invalid(value)
+    assert is_invalid('s1', value)
+
+
+@pytest.mark.parametrize('key', ['', 's 1', 's\r\nx: y', 's\xe9', 's' * 300])
+def test_server_id_that_no_header_can_carry_is_invalid(key):
+    """Guards against ids that end a request, or add headers to it."""
+    value = encode_server_registration({})
+    assert decode_server_registration(key, value, 1) == ServerGone(key, 1)
+    assert is_invalid(key, value)
+
+
+@hypothesis.settings(derandomize=True, deadline=None)
+@given(json_fields)
+def test_registration_with_any_fields_is_decoded_or_invalid(fields):
+    """Guards against a registration that ends the reading of all others.
+
+    What is decoded must fit into the messages between entries.
+    """
+    value = encode_server_registration(fields)
+    change = decode_server_registration('s1', value, 1)
+    update = ServerUpdate(0, 2, 0.0, (change,))
+    assert decode_datagram(encode_message(update)) == update
 
 
 def test_configuration_is_decoded():
@@ -165,12 +235,76 @@
     ]
 
 
-@pytest.mark.parametrize('value', [b'', b'{}', b'{"config-version":"zz"}'])
+def encode_changed_configuration(index, changes):
+    """Encode a configuration with changed fields of one resource."""
+    content = build_configuration()
+    content['resources'][index]['spec'].update(changes)
+    return json.dumps(content).encode()
+
+
+@pytest.mark.parametrize(
+    'value',
+    [
+        b'',
+        b'{}',
+        b'{"config-version":"zz"}',
+        b'{"config-version":"-1","resources":[]}',
+        b'{"config-version":"%s","resources":[]}' % (b'f' * 5000),
+        b'{"config-version":"00000001","resources":%s' % (b'[' * 100_000),
+        b'{"config-version":"00000001","resources":[{"resource-kind":"routes",'
+        b'"spec":%s%s}]}' % (b'[' * 100_000, b']' * 100_000),
+        encode_changed_configuration(0, {'timeout-s': float('nan')}),
+        encode_changed_configuration(0, {'timeout-s': -1}),
+        encode_changed_configuration(0, {'target-latency-s': 0}),
+        encode_changed_configuration(0, {'max-attempts': -(10**400)}),
+        encode_changed_configuration(
+            0, {'traffic-split': [{'service': 'x', 'weight': 0}] * 2}
+        ),
+        encode_changed_configuration(3, {'health-path': '/x\r\ny: z\n'}),
+        encode_changed_configuration(3, {'health-path': '/\xe9'}),
+        encode_changed_configuration(3, {'warmup-per-s': 1e300}),
+        encode_changed_configuration(3, {'max-connections': 10**30}),
+        encode_changed_configuration(4, {'idle-timeout-s': 1e300}),
+    ],
+)
 def test_invalid_configuration_is_none(value):
     """Guards against an exception, or empty routes, from an invalid record."""
     assert decode_configuration(value) is None
 
 
+@hypothesis.settings(derandomize=True, deadline=None)
+@given(
+    st.integers(0, 4),
+    st.sampled_from(
+        [
+            'host',
+            'path-prefix',
+            'type',
+            'timeout-s',
+            'target-latency-s',
+            'priority',
+            'max-attempts',
+            'traffic-split',
+            'health-path',
+            'max-connections',
+            'warmup-per-s',
+            'max-header-bytes',
+        ]
+    ),
+    json_values,
+)
+def test_configuration_with_any_field_is_usable_or_invalid(index, name, value):
+    """Guards against a configuration that fails only when it is used."""
+    content = encode_changed_configuration(index, {name: value})
+    table = decode_configuration(content)
+    if table is not None:
+        for route in table.list_routes():
+            route.choose_service(Random(1))
+            ProcessingTime(route.target_latency_s).find_slowness_max(1.0)
+        for service in table.services_by_name.values():
+            service.health_path.encode('ascii')
+
+
 def test_operator_records_are_decoded_by_name():
     """Guards against records that are taken for another kind.
 
@@ -186,6 +320,7 @@
             ('evacuate/a', b''),
             ('config', b'??'),
             ('other', b'{}'),
+            ('evacuate/\ufffd', b'{}'),
         )
     ]
     assert isinstance(decoded[0], ConfigurationChange)
@@ -243,6 +378,19 @@
         ('internal-port-range', 'x'),
         ('internal-port-range', []),
         ('seeds', None),
+        ('ip', 'here'),
+        ('ip', '::1'),
+        ('platform', {'address': '10.0.0.200:99999'}),
+        ('platform', {'address': '10.0.0.200:\u00b2'}),
+        ('platform', {'address': f'10.0.0.200:{"9" * 5000}'}),
+        ('internal-port-range', [-4, 9]),
+        ('internal-port-range', [10**30, 9]),
+        ('limits', {'max-fds': -10}),
+        ('bounds', {**SETTINGS['bounds'], 'grace-s': float('nan')}),
+        ('bounds', {**SETTINGS['bounds'], 'grace-s': float('inf')}),
+        ('bounds', {**SETTINGS['bounds'], 'budget-slack': -1}),
+        ('bounds', {**SETTINGS['bounds'], 'budget-window-s': 0}),
+        ('bounds', {**SETTINGS['bounds'], 'ttl_max_s': 10**400}),
     ],
 )
 def test_invalid_setting_is_named(path, value):
@@ -253,14 +401,36 @@
     failure = decode_settings({**SETTINGS, path: value})
     assert isinstance(failure, Failure)
     assert failure.failure().path.startswith(path)
+    assert len(str(failure.failure())) < 300
+
+
+@pytest.mark.parametrize('seed', ['10.0.0.1:x', '[:x', f'1:{"9" * 5000}'])
+def test_invalid_seed_does_not_refuse_the_others(seed):
+    """Guards against an entry that cannot start because of one bad seed."""
+    raw = {**SETTINGS, 'seeds': [seed, '10.0.0.2:8166']}
+    assert '10.0.0.2' in decode_settings(raw).unwrap().seed_ips
 
 
 def test_unreadable_settings_file_fails(tmp_path):
     """Guards against an exception from a missing file or invalid TOML."""
     assert isinstance(load_entry_settings(tmp_path / 'none'), Failure)
     broken = tmp_path / 'broken.toml'
-    broken.write_text('= 1')
-    assert isinstance(load_entry_settings(broken), Failure)
+    for content in (
+        b'= 1',
+        b'\xff\xfe',
+        b'x=' + b'[' * 5000,
+        b'x=' + b'9' * 5000,
+    ):
+        broken.write_bytes(content)
+        assert isinstance(load_entry_settings(broken), Failure)
+
+
+@hypothesis.settings(derandomize=True, deadline=None)
+@given(st.sampled_from(sorted(SETTINGS)), json_values)
+def test_any_setting_is_accepted_or_refused(name, value):
+    """Guards against an exception from a setting of any type."""
+    decoded = decode_settings({**SETTINGS, name: value})
+    assert isinstance(decoded, Success | Failure)
 
 
 def test_lookup_is_decoded_and_answered():
@@ -314,6 +484,122 @@
             assert await store.register_entry('10.0.0.1') is not None
 
 
+def encode_records(*records):
+    """Encode the body of the response to a read."""
+    return bytes(16) + b''.join(
+        len(record).to_bytes(4) + record for record in records
+    )
+
+
+def build_store(monkeypatch, *bodies):
+    """Build a store whose calls return the given bodies one after another."""
+    store = PlatformStore(BackendPool(), '127.0.0.1:1')
+    answers = iter(bodies)
+
+    async def call(*_):
+        return Answered(200, (), next(answers), '')
+
+    monkeypatch.setattr(store, '_call', call)
+    return store
+
+
+@pytest.mark.anyio
+async def test_cut_off_record_is_read_again(monkeypatch):
+    """Guards against a server that is lost with the end of a response.
+
+    Its cut off registration is invalid; the next read must begin with it.
+    """
+    record = b'\x02s1' + encode_server_registration({})
+    body = encode_records(record, record)
+    store = build_store(monkeypatch, body[:-9], body[:9], body[: 16 + 4 + 9])
+    batch = await store.read_servers(5)
+    assert batch.end == 6
+    assert [change.slots for change in batch.changes] == [4]
+    assert isinstance(await store.read_servers(6), StoreUnavailable)
+    assert isinstance(await store.read_servers(6), StoreUnavailable)
+
+
+@pytest.mark.anyio
+async def test_record_without_readable_key_names_no_server(monkeypatch):
+    """Guards against the removal of a server whose id is part of a bad key."""
+    good = b'\x02s1' + encode_server_registration({})
+    store = build_store(
+        monkeypatch, encode_records(b'\x09s1', b'', b'\x00x', good)
+    )
+    batch = await store.read_servers(0)
+    assert [change.server_id for change in batch.changes] == ['s1']
+    assert batch.damaged_ids == ('', '', '')
+    assert batch.end == 4
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize(
+    'damaged',
+    [
+        b'{"key":"\\ud800","offset":1,"value":"eA=="}',
+        b'{"key":"\xff","offset":1,"value":"eA=="}',
+        b'{"key":"s2","offset":1,"value":"!"}',
+        b'{"key":"s2","offset":-1,"value":"eA=="}',
+        b'{"key":"s2","offset":1e400,"value":"eA=="}',
+        b'{"key":7,"offset":1}',
+        b'null',
+    ],
+)
+async def test_damaged_record_of_a_page_hides_no_other(monkeypatch, damaged):
+    """Guards against a record that makes the whole store unreadable."""
+    value = b64encode(encode_server_registration({}))
+    page = b'{"end-offset":3,"items":[%s,{"key":"s1","offset":2,"value":"%s"}]}'
+    store = build_store(monkeypatch, page % (damaged, value))
+    batch = await store.read_servers(None)
+    assert [change.server_id for change in batch.changes] == ['s1']
+    assert len(batch.damaged_ids) == 1
+    json.dumps(batch.damaged_ids, ensure_ascii=False).encode()
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize(
+    'page',
+    [
+        b'{"end-offset":-1,"items":[]}',
+        b'{"end-offset":%d,"items":[]}' % 10**40,
+        b'{"end-offset":1,"items":' + b'[' * 100_000,
+        b'{"end-offset":1,"x":' + b'{"x":' * 100_000,
+        b'\xff',
+        b'',
+    ],
+)
+async def test_damaged_page_counts_as_failed_read(monkeypatch, page):
+    """Guards against an exception, or an invalid offset, from a page."""
+    store = build_store(monkeypatch, page)
+    assert isinstance(await store.read_servers(None), StoreUnavailable)
+
+
+@pytest.mark.anyio
+async def test_pages_that_repeat_end_the_read(monkeypatch):
+    """Guards against a read that never ends."""
+    page = b'{"end-offset":1,"has-more":true,"items":[{"key":"s1","offset":0}]}'
+    store = build_store(monkeypatch, *[page] * 9)
+    assert isinstance(await store.read_servers(None), StoreUnavailable)
+
+
+@hypothesis.settings(
+    derandomize=True,
+    deadline=None,
+    suppress_health_check=[HealthCheck.function_scoped_fixture],
+)
+@given(st.binary() | st.lists(st.binary()).map(lambda it: encode_records(*it)))
+def test_any_response_is_read_or_refused(monkeypatch, body):
+    """Guards against an exception that ends the reading of the store."""
+    store = build_store(monkeypatch, *[body] * 4)
+    for start in (0, None):
+        servers = anyio.run(store.read_servers, start)
+        assert isinstance(servers, ServerBatch | StoreUnavailable)
+        operator = anyio.run(store.read_operator_records, start)
+        if not isinstance(operator, StoreUnavailable):
+            for record in operator.records:
+                store.decode_operator_record(record)
+
+
 @pytest.mark.anyio
 async def test_entries_register_and_unregister():
     """Guards against entries that stay registered after they have stopped.
