Start no request behind a response that closes the connection

A request that arrived while a closing response was being sent ran at a backend server, and the close cut it without an answer: at the end of a drain, or behind a streamed response.

Cause: the connection went on reading until the response had been sent. It now stops reading once it has decided to close; such a request counts as not read and the caller sends it again.

--- a/copperyard/caller_connections.py
+++ b/copperyard/caller_connections.py
@@ -301,7 +301,7 @@
         else:
             reader.fault = RefusalReason.TOO_SLOW
         self._start_requests(group)
-        if reader.fault is not None:
+        if reader.fault is not None and self._is_reading:
             self._refuse(reader.fault)
             self._is_reading = False
 
@@ -406,6 +406,10 @@
         is_keep_alive = pending.is_keep_alive and not response.closes_connection
         if self._callbacks.is_closing() and len(self._pending_responses) == 1:
             is_keep_alive = False
+        if not is_keep_alive:
+            # A request that arrives while the response is sent would run
+            # without being answered.
+            self._is_reading = False
         head = encode_response_head(
             response, is_keep_alive=is_keep_alive, is_head=pending.is_head
         )
--- a/tests/test_caller_connections.py
+++ b/tests/test_caller_connections.py
@@ -34,6 +34,7 @@
         self.metrics = Metrics()
         self.is_closing = False
         self.port = 0
+        self.handle_request = self.handle
 
     async def handle(self, request):
         """Wait for the milliseconds in the path, then respond with the path."""
@@ -62,7 +63,7 @@
     """Run a server in the background."""
     server = RecordingServer()
     callbacks = ListenerCallbacks(
-        server.handle,
+        lambda request: server.handle_request(request),
         lambda: LIMITS,
         lambda: server.is_closing,
         seconds_since_boot,
@@ -295,3 +296,51 @@
         assert response.count(b'HTTP/1.1 ') == 1
         assert b'connection: close' in response
         assert len(server.requests) == (status == b'200')
+
+
+class PausedBody:
+    """Streamed body that ends when the test allows it."""
+
+    def __init__(self):
+        self.may_end = asyncio.Event()
+
+    def __enter__(self):
+        return self
+
+    def __exit__(self, *error):
+        pass
+
+    async def read_part(self):
+        """Wait, then return the end of the body."""
+        await self.may_end.wait()
+        return b''
+
+
+async def test_no_request_is_started_behind_a_closing_response():
+    """Guards against a request that runs and is cut by the close.
+
+    A response that closes the connection may take long to send; a request that
+    arrives meanwhile would run at a server and never be answered.
+    """
+    body = PausedBody()
+    async with running_server() as server:
+        server.is_closing = True
+        handle = server.handle
+
+        async def stream_first(request):
+            response = await handle(request)
+            if request.target == b'/0/first':
+                return CallerResponse(200, stream=body)
+            return response
+
+        server.handle_request = stream_first
+        reader, writer = await asyncio.open_connection('127.0.0.1', server.port)
+        writer.write(GET % b'0/first')
+        head = await reader.readuntil(b'\r\n\r\n')
+        assert b'connection: close' in head
+        writer.write(GET % b'500/second')
+        await asyncio.sleep(0.05)
+        body.may_end.set()
+        await reader.read()
+        writer.close()
+        assert [request.target for request in server.requests] == [b'/0/first']
