Ignore signals from the shutdown of a program to its exit

A signal that came after the receiver had closed still ended the process with the status of the signal: the threads that resolve listen addresses were started while signals were received, so they do not hold them back.

The three signals are now ignored from then on, if the program has held them back before.

--- a/copperyard/signals.py
+++ b/copperyard/signals.py
@@ -2,7 +2,7 @@
 
 import signal
 from collections.abc import AsyncIterator, Iterator
-from contextlib import contextmanager
+from contextlib import ExitStack, contextmanager
 
 import anyio
 
@@ -15,15 +15,25 @@
     """Receive signals, including those that were held back before.
 
     A program keeps the context open until it has shut down, because a signal
-    without a handler would end it at once. On exit the signals are held back
-    again if they were before.
+    without a handler would end it at once. If the signals were held back
+    before, they are ignored from the exit on.
     """
-    with anyio.open_signal_receiver(*HANDLED_SIGNALS) as signals:
-        mask = signal.pthread_sigmask(signal.SIG_UNBLOCK, HANDLED_SIGNALS)
-        try:
-            yield signals
-        finally:
-            signal.pthread_sigmask(signal.SIG_SETMASK, mask)
+    mask = signal.pthread_sigmask(signal.SIG_BLOCK, ())
+    with ExitStack() as stack:
+        if mask.issuperset(HANDLED_SIGNALS):
+            stack.callback(_ignore_signals)
+        signals = stack.enter_context(
+            anyio.open_signal_receiver(*HANDLED_SIGNALS)
+        )
+        stack.callback(signal.pthread_sigmask, signal.SIG_SETMASK, mask)
+        signal.pthread_sigmask(signal.SIG_UNBLOCK, HANDLED_SIGNALS)
+        yield signals
+
+
+def _ignore_signals() -> None:
+    # Threads that were started meanwhile do not hold the signals back.
+    for signal_number in HANDLED_SIGNALS:
+        signal.signal(signal_number, signal.SIG_IGN)
 
 
 async def wait_for_stop(signals: AsyncIterator[signal.Signals]) -> None:
