Run no request that the drain would cut, and stay unregistered

A request that reached an entry late in its drain was run and cut when the grace time ended: listeners and kept connections took requests up to the last moment. The drain's time was counted from its first step instead of from the signal, and an entry that had never been ready waited for callers all the same. A store call that outlasted the accept phase, as after a pause of the VM, gave a negative delay and ended the process. An entry whose first registration had failed registered again after its goodbye and stayed listed.

Drain holds the two times of a drain. After the accept phase, a request whose deadline lies behind the end of the drain is refused at once as not run (leaving); one that ends before is still served. Registration ends when the entry leaves, and its removal waits for a registration in flight.

--- a/copperyard/entry.py
+++ b/copperyard/entry.py
@@ -1,5 +1,6 @@
 """The entry process: a load balancer on a VM of the users' platform."""
 
+import math
 import os
 import signal
 import sys
@@ -20,6 +21,7 @@
     ListenerCallbacks,
 )
 from copperyard.dispatching import Dispatcher
+from copperyard.drains import plan_drain
 from copperyard.entry_api import EntryApi
 from copperyard.entry_board import EntryBoard
 from copperyard.entry_peers import EntryPeers
@@ -44,13 +46,6 @@
 
 # Must match the port in the deployment file.
 METRICS_PORT: Final = 9100
-# Share of the grace time for which new connections are accepted after SIGTERM:
-# callers keep using this entry until their cached lookup has expired. After
-# that, idle connections are closed.
-ACCEPT_SHARE: Final = 0.55
-# Share of the grace time after which open connections are no longer waited for;
-# the rest is left for the exit of the process.
-DRAIN_SHARE: Final = 0.9
 # Interval between checks for idle connections while draining; short compared
 # with the grace time of some seconds.
 DRAIN_POLL_INTERVAL_S: Final = 0.05
@@ -90,6 +85,8 @@
         )
         self._connections: set[CallerConnection] = set()
         self._stop_requested = anyio.Event()
+        # When the first stop signal arrived, ``CLOCK_BOOTTIME`` in seconds.
+        self._stopped_at = math.inf
 
     async def run(self) -> None:
         """Serve until SIGTERM or SIGINT, then drain and stop."""
@@ -103,10 +100,10 @@
             )
             group.start_soon(self._handle_signals, signals)
             await self._listen(group, self._build_api(group))
-            self._start_controllers(group)
+            poller = self._start_controllers(group)
             log_event('started', entry=settings.entry_id)
             await self._stop_requested.wait()
-            await self._drain()
+            await self._drain(poller)
             group.cancel_scope.cancel()
             log_event('stopped', entry=settings.entry_id)
 
@@ -127,7 +124,7 @@
             self._random,
         )
 
-    def _start_controllers(self, group: TaskGroup) -> None:
+    def _start_controllers(self, group: TaskGroup) -> StorePoller:
         poller = StorePoller(
             self.board,
             self._replica,
@@ -149,6 +146,7 @@
             group.start_soon(
                 run_controller, controller, name, self.board.metrics
             )
+        return poller
 
     async def _listen(self, group: TaskGroup, api: EntryApi) -> None:
         settings = self.board.settings
@@ -220,22 +218,23 @@
             if signal_number == signal.SIGHUP:
                 with FaultBarrier(self.board.metrics, 'settings'):
                     self._settings_reloader.reload('SIGHUP')
-            else:
+            elif not self._stop_requested.is_set():
+                self._stopped_at = self.board.clock()
                 self._stop_requested.set()
 
-    async def _drain(self) -> None:
-        grace_s = self.board.settings.bounds.grace_s
-        started_at = self.board.clock()
-        self.board.is_leaving = True
+    async def _drain(self, poller: StorePoller) -> None:
+        board = self.board
+        drain = plan_drain(
+            self._stopped_at,
+            board.settings.bounds.grace_s,
+            is_ready=board.is_ready,
+        )
+        board.drain = drain
         log_event('leaving', connections=len(self._connections))
         self._peers.send_goodbye()
-        failure = await self._store.remove_entry(self.board.settings.ip)
-        if failure is not None:
-            log_event('store_call_failed', reason=failure.detail)
-        await anyio.sleep(
-            started_at + ACCEPT_SHARE * grace_s - self.board.clock()
-        )
-        while self.board.clock() - started_at < DRAIN_SHARE * grace_s:
+        await poller.unregister()
+        await anyio.sleep(max(0.0, drain.accepts_until - board.clock()))
+        while board.clock() < drain.ends_at:
             for connection in tuple(self._connections):
                 if connection.is_idle:
                     connection.close()
--- a/copperyard/entry_api.py
+++ b/copperyard/entry_api.py
@@ -43,6 +43,9 @@
 LOCAL_ENTRIES_MIN: Final = 2
 # An entry that has just started receives the configuration soon.
 NOT_READY_RETRY_AFTER_S: Final = 0.2
+# Another entry can serve the request at once; the time only spreads the callers
+# of an entry that leaves.
+LEAVING_RETRY_AFTER_S: Final = 0.02
 # Time reserved for the response to reach the caller before the deadline.
 RESPONSE_MARGIN_S: Final = 0.01
 
@@ -216,6 +219,9 @@
         return build_response(outcome)
 
     async def _dispatch(self, state: RequestState) -> DispatchOutcome:
+        drain = self._board.drain
+        if drain and not drain.accepts(self._board.clock(), state.deadline):
+            return NotRun(RefusalReason.LEAVING, LEAVING_RETRY_AFTER_S)
         with FaultBarrier(
             self._board.metrics,
             'request',
--- a/copperyard/entry_board.py
+++ b/copperyard/entry_board.py
@@ -10,6 +10,7 @@
 from copperyard.clock import seconds_since_boot
 from copperyard.cold_allowance import COLD_SEND_INTERVAL_S, is_cold_sender
 from copperyard.concurrency_estimates import ConcurrencyEstimate
+from copperyard.drains import Drain
 from copperyard.entry_settings import EntrySettings
 from copperyard.metrics import Metrics
 from copperyard.processing_times import ProcessingTime
@@ -39,7 +40,7 @@
         and those suspected to have stopped.
     :param has_servers: whether the backend servers have been read at least
         once.
-    :param is_leaving: whether the process is shutting down.
+    :param drain: the drain in progress while the process is shutting down.
     :param server_table: registered backend servers.
     :param loads_by_id: load of each backend server, created on first use.
     :param waiting_requests_by_service: number of requests that wait for a
@@ -60,7 +61,7 @@
     domains_out: frozenset[str] = frozenset()
     entry_ips: frozenset[str] = frozenset()
     has_servers: bool = False
-    is_leaving: bool = False
+    drain: Drain | None = None
     server_table: ServerTable = field(default_factory=ServerTable)
     loads_by_id: dict[str, ServerLoad] = field(default_factory=dict)
     waiting_requests_by_service: Counter[str] = field(default_factory=Counter)
@@ -87,6 +88,11 @@
         default_factory=dict
     )
 
+    @property
+    def is_leaving(self) -> bool:
+        """Return whether the process is shutting down."""
+        return self.drain is not None
+
     @property
     def is_ready(self) -> bool:
         """Return whether this entry accepts requests."""
--- a/copperyard/store_poller.py
+++ b/copperyard/store_poller.py
@@ -96,6 +96,8 @@
         # One kind may fail while the other can still be read.
         self._server_schedule = _ReadSchedule('servers')
         self._operator_schedule = _ReadSchedule('operator_records')
+        # Keeps a registration in flight from following the removal.
+        self._registration_lock = anyio.Lock()
 
     async def poll_servers(self) -> None:
         """Read changes of backend servers when due, until cancelled."""
@@ -128,15 +130,16 @@
             await anyio.sleep(POLL_INTERVAL_S)
 
     async def register(self) -> None:
-        """Register this entry and look for others until cancelled.
+        """Register this entry and look for others until it leaves.
 
         Registered entries are looked up only while none is heard from.
         """
         ip = self._board.settings.ip
         is_registered = False
-        while True:
+        while not self._board.is_leaving:
             if not is_registered:
-                failure = await self._store.register_entry(ip)
+                async with self._registration_lock:
+                    failure = await self._store.register_entry(ip)
                 is_registered = failure is None
             if not self._peers.list_alive(self._board.clock()):
                 ips = await self._store.read_entry_ips()
@@ -144,6 +147,13 @@
                     self._peers.contact(ips)
             await anyio.sleep(DISCOVERY_INTERVAL_S)
 
+    async def unregister(self) -> None:
+        """Remove the registration of this entry, which is leaving."""
+        async with self._registration_lock:
+            failure = await self._store.remove_entry(self._board.settings.ip)
+        if failure is not None:
+            log_event('store_call_failed', reason=failure.detail)
+
     def _is_due(
         self,
         schedule: _ReadSchedule,
