Limit the size of a request's trailer

A caller could send a trailer field that never ends, and the entry kept all of it in memory: the limit on the head was checked only while a head was read, and the parser reports a field only when it is complete.

The bytes received since the last part of the body are now limited to the size of a head. Chunks reset the count, so a body in many small chunks is accepted as before. The test failed before: the connection stayed open and was closed without a response at the idle timeout ("assert False" for the 431).

--- a/copperyard/caller_connections.py
+++ b/copperyard/caller_connections.py
@@ -108,6 +108,8 @@
         self._parts: list[bytes] = []
         self._parsed_head_bytes = 0
         self._received_head_bytes = 0
+        # Bytes received since the last part of the body, as far as known.
+        self._trailer_bytes = 0
         self._body_bytes = 0
         self._complete_count = 0
         self._request: ReceivedRequest | None = None
@@ -115,6 +117,8 @@
     def feed(self, content: bytes) -> None:
         """Parse received bytes and record the first fault."""
         count_before = self._complete_count
+        body_bytes_before = self._body_bytes
+        was_in_body = self.is_in_body
         try:
             self._parser.feed_data(content)
         except HttpParserUpgrade:
@@ -124,12 +128,21 @@
                 self._record_fault(RefusalReason.BAD_REQUEST)
         except HttpParserError:
             self._record_fault(RefusalReason.BAD_REQUEST)
-        # The parser reports a header only when it is complete. Counting the
-        # received bytes too limits a header that never ends.
-        if self.is_in_head and count_before == self._complete_count:
+        # The parser reports a header or trailer field only when it is complete.
+        # Counting the received bytes too limits one that never ends.
+        if count_before != self._complete_count:
+            return
+        if self.is_in_head:
             self._received_head_bytes += len(content)
-            if self._received_head_bytes > self._limits.head_bytes:
-                self._record_fault(RefusalReason.HEAD_TOO_LARGE)
+        elif self._body_bytes != body_bytes_before:
+            self._trailer_bytes = 0
+        elif was_in_body:
+            self._trailer_bytes += len(content)
+        if (
+            max(self._received_head_bytes, self._trailer_bytes)
+            > self._limits.head_bytes
+        ):
+            self._record_fault(RefusalReason.HEAD_TOO_LARGE)
 
     def on_message_begin(self) -> None:
         self.is_in_head = True
@@ -139,6 +152,7 @@
         self._parts = []
         self._parsed_head_bytes = 0
         self._received_head_bytes = 0
+        self._trailer_bytes = 0
         self._body_bytes = 0
 
     def on_url(self, part: bytes) -> None:
--- a/tests/test_caller_connections.py
+++ b/tests/test_caller_connections.py
@@ -295,3 +295,26 @@
         assert response.count(b'HTTP/1.1 ') == 1
         assert b'connection: close' in response
         assert len(server.requests) == (status == b'200')
+
+
+async def test_endless_trailer_is_refused():
+    """Guards against unlimited memory for a trailer field that never ends."""
+    async with running_server() as server:
+        response = await exchange(
+            server,
+            b'POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n'
+            b'0\r\nA: ' + b'x' * 700,
+            b'x' * 700,
+            b'x' * 700,
+            pause_s=0.02,
+        )
+        assert response.startswith(b'HTTP/1.1 431')
+
+
+async def test_body_in_many_small_chunks_is_accepted():
+    """Guards against counting the framing of chunks like a trailer."""
+    async with running_server() as server:
+        chunks = [b'1;%b\r\nx\r\n' % (b'e' * 90)] * 50
+        head = b'POST /0 HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n'
+        await exchange(server, head + b'\r\n', *chunks, b'0\r\n\r\n')
+        assert server.requests[0].body == b'x' * 50
