Keep a listener open when a connection cannot be accepted

Callers that used up the descriptors of an entry ended it: accept failed with EMFILE, the exception left the listener and cancelled the main task group. At the limit for callers, only idle connections are closed, so connections with an unfinished request are not bounded by it.

The test failed before on the listener's own loop with "OSError: [Errno 24] too many open files".

--- a/copperyard/entry.py
+++ b/copperyard/entry.py
@@ -25,6 +25,7 @@
 from copperyard.entry_peers import EntryPeers
 from copperyard.entry_settings import EntrySettings
 from copperyard.exchanges import BackendPool
+from copperyard.listeners import accept_connections
 from copperyard.load_probing import LoadProber
 from copperyard.logs import configure_logs, log_event
 from copperyard.metrics import Metrics
@@ -168,7 +169,11 @@
                 local_port=port,
             )
             group.start_soon(
-                listener.serve, partial(self._serve_connection, callbacks)
+                accept_connections,
+                listener,
+                partial(self._serve_connection, callbacks),
+                group,
+                self.board.metrics,
             )
 
     async def _serve_connection(
