Close streamed responses that a disconnected caller has not received

A caller that left while a large response waited behind an earlier one, or was about to be sent, left the connection to the backend server open: it stayed counted against the server's connection limit, and the server went on sending. The streams were closed only by the loop that sends them.

A connection now closes the streams of all responses that it has not sent completely. The test failed before with "assert False" for the closed stream.

--- a/copperyard/caller_connections.py
+++ b/copperyard/caller_connections.py
@@ -283,13 +283,22 @@
 
     async def run(self) -> None:
         """Serve the connection until either side closes it."""
-        with (
-            self._scope,
-            FaultBarrier(self._callbacks.metrics, 'connection'),
-        ):
-            async with self._stream, anyio.create_task_group() as group:
-                group.start_soon(self._write_responses, group.cancel_scope)
-                await self._read(group)
+        try:
+            with (
+                self._scope,
+                FaultBarrier(self._callbacks.metrics, 'connection'),
+            ):
+                async with self._stream, anyio.create_task_group() as group:
+                    group.start_soon(self._write_responses, group.cancel_scope)
+                    await self._read(group)
+        finally:
+            self._close_streams()
+
+    def _close_streams(self) -> None:
+        for pending in self._pending_responses:
+            response = pending.response
+            if response is not None and response.stream is not None:
+                response.stream.close()
 
     async def _read(self, group: anyio.abc.TaskGroup) -> None:
         while self._is_reading:
--- a/tests/test_caller_connections.py
+++ b/tests/test_caller_connections.py
@@ -32,6 +32,7 @@
         self.cancelled_targets = []
         self.refusals = []
         self.metrics = Metrics()
+        self.stream = None
         self.is_closing = False
         self.port = 0
 
@@ -44,6 +45,8 @@
             raise ValueError(request.target)
         if request.target == b'/unencodable':
             return CallerResponse('200')
+        if request.target == b'/stream':
+            return CallerResponse(200, stream=self.stream)
         digits = request.target.strip(b'/').split(b'/')[0]
         try:
             await anyio.sleep(int(digits or b'0') / 1000)
@@ -318,3 +321,29 @@
         head = b'POST /0 HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n'
         await exchange(server, head + b'\r\n', *chunks, b'0\r\n\r\n')
         assert server.requests[0].body == b'x' * 50
+
+
+class ClosableStream:
+    """Streamed response of a server; records whether it was closed."""
+
+    def __init__(self):
+        self.is_closed = False
+
+    def close(self):
+        """Record the call."""
+        self.is_closed = True
+
+
+async def test_disconnect_closes_streamed_responses_that_wait():
+    """Guards against connections to servers that are never closed.
+
+    The caller leaves while a large response waits for an earlier one.
+    """
+    async with running_server() as server:
+        server.stream = ClosableStream()
+        _, writer = await asyncio.open_connection('127.0.0.1', server.port)
+        writer.write(GET % b'5000' + GET % b'stream')
+        await asyncio.sleep(0.05)
+        writer.close()
+        await asyncio.sleep(0.05)
+        assert server.stream.is_closed
