Answer 400 to an unsendable request only if the caller's part is invalid

An attempt also cannot be encoded if the id of the server cannot be sent in a header. The caller of a valid request then got 400 and did not try again. It gets 503 as before; the request is checked without the headers for the server, only after such a failure. The test failed before with RefusalReason.BAD_REQUEST.

--- a/copperyard/dispatching.py
+++ b/copperyard/dispatching.py
@@ -17,6 +17,7 @@
 from copperyard.concurrency_estimates import NEARLY_FULL_SHARE
 from copperyard.entry_board import EntryBoard
 from copperyard.exchanges import BackendPool, ForwardResult, StreamedResponse
+from copperyard.http_codec import encode_request
 from copperyard.load_probing import build_server_address
 from copperyard.load_reports import record_load_report
 from copperyard.logs import log_event
@@ -401,7 +402,9 @@
     def _build_refusal(
         self, state: RequestState, failure: AttemptFailure
     ) -> NotRun:
-        if failure.kind is FailureKind.INVALID:
+        if failure.kind is FailureKind.INVALID and not _is_encodable(
+            state.request
+        ):
             return NotRun(RefusalReason.BAD_REQUEST, detail=failure.detail)
         return NotRun(
             RefusalReason.SERVER_REFUSED,
@@ -457,6 +460,14 @@
                 return state.failure
 
 
+def _is_encodable(request: CallerRequest) -> bool:
+    """Return whether a request is valid without the headers for a server."""
+    encoded = encode_request(
+        request.method, request.target, request.headers, b''
+    )
+    return encoded is not None
+
+
 @contextmanager
 def _closed_on_error(result: ForwardResult) -> Iterator[None]:
     with ExitStack() as stack:
--- a/tests/test_dispatching.py
+++ b/tests/test_dispatching.py
@@ -239,3 +239,13 @@
     """
     outcome, _ = await run_request((0, answer), is_idempotent=False)
     assert isinstance(outcome, Unknown)
+
+
+async def test_server_with_an_unsendable_id_is_not_the_callers_fault():
+    """Guards against 400 for a valid request.
+
+    The id of a server that registered wrongly cannot be sent in a header.
+    """
+    failure = build_failure(FailureKind.INVALID, is_sent=False)
+    outcome, _ = await run_request((0, failure))
+    assert outcome.reason is RefusalReason.SERVER_REFUSED
