Accept server ids that are not Latin-1, and IPv6 zones that do not exist

A backend server registered under an id outside Latin-1 or with an address such as [fe80::1%none]:80 ended the entries: encoding the id raised UnicodeEncodeError, connecting raised gaierror, in the task of a health check.

Ids are sent and compared as UTF-8, in which the registrations hold them, and such an address counts as a failed connection. The tests failed before with "UnicodeEncodeError: 'latin-1' codec can't encode characters" and "socket.gaierror: [Errno -2] Name or service not known".

--- a/copperyard/connections.py
+++ b/copperyard/connections.py
@@ -56,7 +56,11 @@
         :returns: 0 on success, otherwise the ``errno`` value.
         """
         self._socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        error = self._socket.connect_ex(self._peer)
+        try:
+            error = self._socket.connect_ex(self._peer)
+        except socket.gaierror:
+            # The zone of the IPv6 address does not exist on this VM.
+            return errno.EADDRNOTAVAIL
         if error == errno.EINPROGRESS:
             await anyio.wait_writable(self._socket)
             return self._socket.getsockopt(
--- a/copperyard/dialects.py
+++ b/copperyard/dialects.py
@@ -76,7 +76,7 @@
             (self.request_id, request_id.encode('latin-1')),
             (self.deadline, b'%d' % remaining_ms),
             (self.retry_level, b'1'),
-            (self.expected_server, server_id.encode('latin-1')),
+            (self.expected_server, server_id.encode()),
         )
         return [pair for pair in pairs if pair[0]]
 
--- a/copperyard/platform/headers.py
+++ b/copperyard/platform/headers.py
@@ -82,7 +82,7 @@
     :param headers: headers of the response.
     :returns: the id; empty if the header is missing.
     """
-    return dict(headers).get(_SERVER_ID, b'').decode('latin-1')
+    return dict(headers).get(_SERVER_ID, b'').decode('utf-8', 'replace')
 
 
 def read_cold_left_s(headers: tuple[tuple[bytes, bytes], ...]) -> float | None:
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -3,6 +3,8 @@
 import json
 import random
 from contextlib import asynccontextmanager
+from dataclasses import replace
+from types import SimpleNamespace
 
 import anyio
 import pytest
@@ -391,3 +393,20 @@
         assert client.server.pipelined_count == 0
         answered = [o for o in outcomes_by_id.values() if type(o) is Answered]
         assert 10 < len(answered) < len(outcomes_by_id)
+
+
+async def test_address_that_cannot_be_resolved_is_a_failed_connection():
+    """Guards against an exception for an address with an unknown zone."""
+    with BackendPool() as pool:
+        client = PoolClient(SimpleNamespace(address='[fe80::1%none]:80'), 1)
+        client.pool = pool
+        outcome = await client.send()
+    assert outcome.kind is FailureKind.CONNECT_FAILED
+    assert not outcome.is_sent
+
+
+async def test_server_id_may_have_any_character():
+    """Guards against an exception for an id that is not Latin-1."""
+    async with _open_client() as client:
+        client.address = replace(client.address, server_id='日本')
+        assert _is_response_to(await client.send('r1'), 'r1')
