Limit heads and trailers in the HTTP server of the proxy

A caller of the proxy could send a header, a trailer field or a chunk extension that never ends: the server has no limit on the size of a head, and its parser keeps an incomplete field in memory until the process is out of it.

More than 64 KiB since the start of a request, or since the last part of its body, are now refused with 400, and the connection is closed. The tests failed before: 80 KB of a head and of a trailer got no response ("assert b'' == b'HTTP/1.1 400'").

--- a/copperyard/serving.py
+++ b/copperyard/serving.py
@@ -15,11 +15,15 @@
 from grpclib.server import Server
 from hypercorn.asyncio import serve
 from hypercorn.config import Config
+from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
+from copperyard.logs import log_event
+from copperyard.outcomes import RefusalReason
 from copperyard.settings import split_address
 
 KEEP_ALIVE_TIMEOUT_S: Final = 75
 LISTEN_BACKLOG: Final = 1024
+HEAD_LIMIT_BYTES: Final = 64 * 1024
 # How long operators' requests in flight may run after a stop.
 OPERATOR_SHUTDOWN_GRACE_S: Final = 1.0
 
@@ -52,7 +56,7 @@
         host=host,
         port=port,
         loop='asyncio',
-        http='httptools',
+        http=_LimitedProtocol,
         ws='none',
         lifespan='off',
         log_config=None,
@@ -109,6 +113,45 @@
         )
 
 
+class _LimitedProtocol(HttpToolsProtocol):
+    """HTTP/1.1 connection with a limit on heads and trailers.
+
+    The parser keeps an incomplete header or trailer field in memory. Counted
+    are the bytes since the start of a request or the last part of its body.
+    """
+
+    _bytes_without_progress = 0
+    _is_receiving = False
+
+    def data_received(self, data: bytes) -> None:
+        """Parse received bytes; refuse a head or trailer that is too long."""
+        self._bytes_without_progress += len(data)
+        super().data_received(data)
+        if not self._is_receiving:
+            self._bytes_without_progress = 0
+        if (
+            self._bytes_without_progress > HEAD_LIMIT_BYTES
+            and not self.transport.is_closing()
+        ):
+            log_event('request_unread', reason=RefusalReason.HEAD_TOO_LARGE)
+            self.send_400_response('request head or trailer too long')
+
+    def on_message_begin(self) -> None:
+        """Record that a request is being received."""
+        self._is_receiving = True
+        super().on_message_begin()
+
+    def on_body(self, body: bytes) -> None:
+        """Restart the count, because the body has its own limit."""
+        self._bytes_without_progress = 0
+        super().on_body(body)
+
+    def on_message_complete(self) -> None:
+        """Record that no request is being received."""
+        self._is_receiving = False
+        super().on_message_complete()
+
+
 class _Server(uvicorn.Server):
     """Uvicorn server that leaves signals to the program.
 
