--- a/copperyard/caller_connections.py
+++ b/copperyard/caller_connections.py
@@ -108,6 +108,8 @@
         self._parts: list[bytes] = []
         self._parsed_head_bytes = 0
         self._received_head_bytes = 0
+        # Bytes received since the last part of the body, as far as known.
+        self._trailer_bytes = 0
         self._body_bytes = 0
         self._complete_count = 0
         self._request: ReceivedRequest | None = None
@@ -115,6 +117,8 @@
     def feed(self, content: bytes) -> None:
         """Parse received bytes and record the first fault."""
         count_before = self._complete_count
+        body_bytes_before = self._body_bytes
+        was_in_body = self.is_in_body
         try:
             self._parser.feed_data(content)
         except HttpParserUpgrade:
@@ -124,12 +128,21 @@
                 self._record_fault(RefusalReason.BAD_REQUEST)
         except HttpParserError:
             self._record_fault(RefusalReason.BAD_REQUEST)
-        # The parser reports a header only when it is complete. Counting the
-        # received bytes too limits a header that never ends.
-        if self.is_in_head and count_before == self._complete_count:
+        # The parser reports a header or trailer field only when it is complete.
+        # Counting the received bytes too limits one that never ends.
+        if count_before != self._complete_count:
+            return
+        if self.is_in_head:
             self._received_head_bytes += len(content)
-            if self._received_head_bytes > self._limits.head_bytes:
-                self._record_fault(RefusalReason.HEAD_TOO_LARGE)
+        elif self._body_bytes != body_bytes_before:
+            self._trailer_bytes = 0
+        elif was_in_body:
+            self._trailer_bytes += len(content)
+        if (
+            max(self._received_head_bytes, self._trailer_bytes)
+            > self._limits.head_bytes
+        ):
+            self._record_fault(RefusalReason.HEAD_TOO_LARGE)
 
     def on_message_begin(self) -> None:
         self.is_in_head = True
@@ -139,6 +152,7 @@
         self._parts = []
         self._parsed_head_bytes = 0
         self._received_head_bytes = 0
+        self._trailer_bytes = 0
         self._body_bytes = 0
 
     def on_url(self, part: bytes) -> None:
@@ -155,12 +169,10 @@
         names = [name for name, _ in self._headers]
         target = b''.join(self._target)
         method = self._parser.get_method()
-        is_unsupported_version = self._parser.get_http_version() != '1.1'
         if (
             names.count(b'host') != 1
-            or not target.startswith(b'/')
-            or method == _CONNECT
-            or is_unsupported_version
+            or not self._is_supported(method, target)
+            or not self._has_known_coding()
         ):
             self._record_fault(RefusalReason.BAD_REQUEST)
         self._check_content_length()
@@ -192,6 +204,23 @@
             self.complete_requests.append(self._request)
         self._request = None
 
+    def _is_supported(self, method: bytes, target: bytes) -> bool:
+        return (
+            target.startswith(b'/')
+            and method != _CONNECT
+            and self._parser.get_http_version() == '1.1'
+        )
+
+    def _has_known_coding(self) -> bool:
+        # The header is not forwarded, so only the coding that is decoded here
+        # leaves the body unchanged.
+        codings = [
+            value.lower()
+            for name, value in self._headers
+            if name == b'transfer-encoding'
+        ]
+        return codings in ([], [b'chunked'])
+
     def _check_content_length(self) -> None:
         length = dict(self._headers).get(b'content-length', b'0')
         if length.isdigit() and int(length) > self._limits.body_bytes:
@@ -269,13 +298,22 @@
 
     async def run(self) -> None:
         """Serve the connection until either side closes it."""
-        with (
-            self._scope,
-            FaultBarrier(self._callbacks.metrics, 'connection'),
-        ):
-            async with self._stream, anyio.create_task_group() as group:
-                group.start_soon(self._write_responses, group.cancel_scope)
-                await self._read(group)
+        try:
+            with (
+                self._scope,
+                FaultBarrier(self._callbacks.metrics, 'connection'),
+            ):
+                async with self._stream, anyio.create_task_group() as group:
+                    group.start_soon(self._write_responses, group.cancel_scope)
+                    await self._read(group)
+        finally:
+            self._close_streams()
+
+    def _close_streams(self) -> None:
+        for pending in self._pending_responses:
+            response = pending.response
+            if response is not None and response.stream is not None:
+                response.stream.close()
 
     async def _read(self, group: anyio.abc.TaskGroup) -> None:
         while self._is_reading:
--- a/tests/test_caller_connections.py
+++ b/tests/test_caller_connections.py
@@ -32,6 +32,7 @@
         self.cancelled_targets = []
         self.refusals = []
         self.metrics = Metrics()
+        self.stream = None
         self.is_closing = False
         self.port = 0
         self.handle_request = self.handle
@@ -45,6 +46,8 @@
             raise ValueError(request.target)
         if request.target == b'/unencodable':
             return CallerResponse('200')
+        if request.target == b'/stream':
+            return CallerResponse(200, stream=self.stream)
         digits = request.target.strip(b'/').split(b'/')[0]
         try:
             await anyio.sleep(int(digits or b'0') / 1000)
@@ -344,3 +347,68 @@
         await reader.read()
         writer.close()
         assert [request.target for request in server.requests] == [b'/0/first']
+
+
+async def test_endless_trailer_is_refused():
+    """Guards against unlimited memory for a trailer field that never ends."""
+    async with running_server() as server:
+        response = await exchange(
+            server,
+            b'POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n'
+            b'0\r\nA: ' + b'x' * 700,
+            b'x' * 700,
+            b'x' * 700,
+            pause_s=0.02,
+        )
+        assert response.startswith(b'HTTP/1.1 431')
+
+
+async def test_body_in_many_small_chunks_is_accepted():
+    """Guards against counting the framing of chunks like a trailer."""
+    async with running_server() as server:
+        chunks = [b'1;%b\r\nx\r\n' % (b'e' * 90)] * 50
+        head = b'POST /0 HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n'
+        await exchange(server, head + b'\r\n', *chunks, b'0\r\n\r\n')
+        assert server.requests[0].body == b'x' * 50
+
+
+class ClosableStream:
+    """Streamed response of a server; records whether it was closed."""
+
+    def __init__(self):
+        self.is_closed = False
+
+    def close(self):
+        """Record the call."""
+        self.is_closed = True
+
+
+async def test_disconnect_closes_streamed_responses_that_wait():
+    """Guards against connections to servers that are never closed.
+
+    The caller leaves while a large response waits for an earlier one.
+    """
+    async with running_server() as server:
+        server.stream = ClosableStream()
+        _, writer = await asyncio.open_connection('127.0.0.1', server.port)
+        writer.write(GET % b'5000' + GET % b'stream')
+        await asyncio.sleep(0.05)
+        writer.close()
+        await asyncio.sleep(0.05)
+        assert server.stream.is_closed
+
+
+async def test_body_with_an_unknown_coding_is_refused():
+    """Guards against running a request with a body that is still encoded.
+
+    Only the chunked coding is decoded; the others would be lost, because the
+    header that names them concerns one connection only.
+    """
+    async with running_server() as server:
+        response = await exchange(
+            server,
+            b'POST /0 HTTP/1.1\r\nHost: h\r\n'
+            b'Transfer-Encoding: gzip, chunked\r\n\r\n1\r\nx\r\n0\r\n\r\n',
+        )
+        assert response.startswith(b'HTTP/1.1 400')
+        assert not server.requests
