Refuse what an agent cannot read from log, peers and operators

A VM with a lone surrogate in its name or with a bad address was accepted and failed later, in messages and requests. A declaration with more slots than 32 bits hold was accepted from an operator, after which no proxy could be sent a grant.

Each reader now refuses these as it refuses other damaged input: the last VM list stays in use, a relayed record counts as damaged on every node, and a peer with a bad address or response is one that cannot be reached. Offsets of the log have bounds, and the operator API refuses counts beyond 32 bits. Failed reads of the VM list are counted.

--- a/copperyard/log_client.py
+++ b/copperyard/log_client.py
@@ -3,7 +3,7 @@
 import json
 from dataclasses import dataclass, replace
 from http import HTTPStatus
-from typing import Any, Final, TypeAlias
+from typing import Annotated, Any, Final, TypeAlias
 
 import httpx
 import msgspec
@@ -20,6 +20,9 @@
 MAX_TIMEOUT_S: Final = 16.0
 MILLISECONDS_PER_S: Final = 1000
 
+# Agents exchange offsets as 64-bit integers.
+_Offset: TypeAlias = Annotated[int, msgspec.Meta(ge=0, le=2**62)]
+
 # Errors raised before the request was sent, so that it had no effect.
 _NOT_SENT_ERRORS: Final = (
     httpx.ConnectError,
@@ -36,7 +39,7 @@
     :param body: decoded JSON as stored on the log, not validated yet.
     """
 
-    offset: int
+    offset: _Offset
     body: Any
 
 
@@ -49,8 +52,8 @@
     :param records: records in ascending order of their offsets, may be empty.
     """
 
-    first: int
-    end: int
+    first: _Offset
+    end: _Offset
     records: tuple[LogEntry, ...] = ()
 
 
@@ -227,7 +230,7 @@
 def _replace_damaged_body(entry: LogEntry) -> LogEntry:
     try:
         json.dumps(entry.body, ensure_ascii=False, allow_nan=False).encode()
-    except ValueError:
+    except (ValueError, RecursionError):
         return replace(entry, body=None)
     return entry
 
@@ -249,11 +252,11 @@
 
 
 class _FirstOffset(msgspec.Struct):
-    first: int
+    first: _Offset
 
 
 class _AppendedOffset(msgspec.Struct):
-    offset: int
+    offset: _Offset
 
 
 def _decode(response: httpx.Response, kind: type[Any]) -> Result[Any, LogError]:
--- a/copperyard/operator_api.py
+++ b/copperyard/operator_api.py
@@ -31,6 +31,9 @@
 # Ids must be visible ASCII because they are used in URLs and in headers.
 _ID_PATTERN: Final = re.compile('[!-~]{1,128}')
 
+# Agents send counts to proxies as 32-bit integers.
+_COUNT_MAX: Final = 2**31 - 1
+
 # ASGI types, defined here because importing them from `serving` would load
 # the HTTP and gRPC servers into the command-line program.
 _Scope: TypeAlias = Mapping[str, Any]
@@ -392,6 +395,8 @@
     for key, value in intent.items():
         if key not in known_keys:
             return f'unknown key intent.{key}'
+        if isinstance(value, int) and abs(value) > _COUNT_MAX:
+            return f'intent.{key} must be at most {_COUNT_MAX}'
         if not _has_valid_ids(value):
             return f'intent.{key} must be 1 to 128 visible ASCII characters'
     return ''
--- a/copperyard/peers.py
+++ b/copperyard/peers.py
@@ -3,22 +3,27 @@
 from types import TracebackType
 from typing import Final, Self
 
+from google.protobuf.message import DecodeError
 from grpclib.client import Channel
 from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
 
+from copperyard.logs import log_event
 from copperyard.messages_grpc import AgentStub, ProxyStub
-from copperyard.settings import split_address
+from copperyard.settings import is_address, split_address
 
 CALL_TIMEOUT_S: Final = 0.4
 # Exceptions of a gRPC call if the called process or the network path to it has
-# failed.
+# failed, or if the response cannot be decoded.
 PEER_ERRORS: Final = (
     GRPCError,
     ProtocolError,
     StreamTerminatedError,
     OSError,
     TimeoutError,
+    DecodeError,
 )
+# Connecting to port 0 fails, as for a peer that is not reachable.
+_UNREACHABLE: Final = ('127.0.0.1', 0)
 
 
 class PeerChannels:
@@ -68,6 +73,14 @@
     def _get_channel(self, address: str) -> Channel:
         channel = self._channels_by_address.get(address)
         if channel is None:
-            channel = Channel(*split_address(address))
+            channel = Channel(*_find_target(address))
             self._channels_by_address[address] = channel
         return channel
+
+
+def _find_target(address: str) -> tuple[str, int]:
+    if is_address(address):
+        return split_address(address)
+    # Addresses of peers come from the log and from messages of other peers.
+    log_event('peer_address_invalid', address=address)
+    return _UNREACHABLE
--- a/copperyard/relay_controller.py
+++ b/copperyard/relay_controller.py
@@ -88,7 +88,7 @@
 def _decode(body: bytes) -> object:
     try:
         return msgspec.json.decode(body)
-    except msgspec.DecodeError:
+    except (msgspec.DecodeError, RecursionError):
         # Every node skips the damaged record in the same way.
         return None
 
--- a/copperyard/snapshots.py
+++ b/copperyard/snapshots.py
@@ -270,10 +270,10 @@
             )
         )
     _, count, digest = snapshot_ids.pop()
-    missing = set(range(count)) - parts_by_index.keys()
-    if missing:
+    missing_count = count - sum(0 <= part < count for part in parts_by_index)
+    if missing_count:
         return Failure(
-            SnapshotError(f'parts {sorted(missing)} of {count} are missing'),
+            SnapshotError(f'{missing_count} of {count} parts are missing'),
         )
     text = ''.join(parts_by_index[index].state for index in range(count))
     if digest and digest != _digest(text):
@@ -297,7 +297,7 @@
     """
     try:
         stored = msgspec.json.decode(text, type=_StoredSnapshot)
-    except (msgspec.MsgspecError, UnicodeError) as error:
+    except (msgspec.MsgspecError, UnicodeError, RecursionError) as error:
         return Failure(SnapshotError(str(error)))
     return (
         state_machine.decode(stored.state)
--- a/copperyard/vm_list.py
+++ b/copperyard/vm_list.py
@@ -7,6 +7,8 @@
 import msgspec
 from returns.result import Failure, Result, Success
 
+from copperyard.settings import is_address
+
 
 class VmState(StrEnum):
     """State of a VM as listed by the platform."""
@@ -51,9 +53,24 @@
     if not isinstance(body, dict) or 'vms' not in body:
         return Failure(VmListError('VM list: expected an object with "vms"'))
     try:
-        return Success(msgspec.convert(body['vms'], tuple[Vm, ...]))
+        vms = msgspec.convert(body['vms'], tuple[Vm, ...])
     except msgspec.ValidationError as error:
         return Failure(VmListError(str(error)))
+    for vm in vms:
+        if not _is_usable(vm):
+            return Failure(VmListError(f'invalid VM {vm!r}'))
+    return Success(vms)
+
+
+def _is_usable(vm: Vm) -> bool:
+    """Return whether a VM can be addressed and named in messages."""
+    names = (vm.vm_id, vm.failure_domain, vm.service or '')
+    try:
+        ''.join(names).encode()
+    except UnicodeEncodeError:
+        # JSON may contain lone surrogates.
+        return False
+    return not vm.address or is_address(vm.address)
 
 
 @dataclass(frozen=True, slots=True)
--- a/copperyard/vm_list_client.py
+++ b/copperyard/vm_list_client.py
@@ -65,7 +65,7 @@
     ) -> Result[tuple[Vm, ...], VmListError]:
         try:
             body = response.json()
-        except ValueError as error:
+        except (ValueError, RecursionError) as error:
             return Failure(VmListError(str(error)))
         decoded = decode_vm_list(body)
         if isinstance(decoded, Success):
--- a/copperyard/vm_list_controller.py
+++ b/copperyard/vm_list_controller.py
@@ -35,5 +35,6 @@
                     )
                     board.changed.fire()
             case Failure(error):
+                board.metrics.count('vm_list.read_failed')
                 log_event('vm_list_read_failed', detail=error.detail)
         await anyio.sleep(POLL_INTERVAL_S)
