Contain unexpected errors in an agent's controllers

An exception in one controller of an agent, such as the reader of the VM list, ended the agent, and its proxy lost its grants.

Controllers that can be run again now do so after an unexpected error, which is logged with its traceback and counted, as in the entry.

--- a/copperyard/agent.py
+++ b/copperyard/agent.py
@@ -1,8 +1,9 @@
 """The agent, the control plane of an entry VM."""
 
 import signal
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import AsyncExitStack
+from functools import partial
 from pathlib import Path
 from random import Random
 from typing import Final
@@ -15,6 +16,7 @@
 from copperyard.blackboard import AgentBoard
 from copperyard.change_manager import ChangeManager
 from copperyard.clock import seconds_since_boot
+from copperyard.containment import run_controller
 from copperyard.heartbeat_controller import send_heartbeats
 from copperyard.log_client import LogClient
 from copperyard.log_controller import follow_stream, write_snapshots
@@ -80,18 +82,31 @@
         )
         membership = MembershipController(board, log_client, channels)
         tasks = await stack.enter_async_context(anyio.create_task_group())
-        tasks.start_soon(follow_vm_list, board, vm_list)
+        start = partial(_start_controller, board, tasks)
+        start('vm_list', follow_vm_list, board, vm_list)
         for stream in board.streams:
-            tasks.start_soon(follow_stream, board, log_client, stream)
-        tasks.start_soon(send_heartbeats, board, channels)
-        tasks.start_soon(fetch_records, board, channels)
-        tasks.start_soon(write_snapshots, board, log_client, Random())
+            start('log', follow_stream, board, log_client, stream)
+        start('heartbeats', send_heartbeats, board, channels)
+        start('relay', fetch_records, board, channels)
+        start('snapshots', write_snapshots, board, log_client, Random())
         tasks.start_soon(membership.run)
         _start_operator_api(board, log_client, tasks)
         tasks.start_soon(_stop_on_signal, board, membership, signals, tasks)
         log_event('agent_started', member=board.member.key)
 
 
+def _start_controller(
+    board: AgentBoard,
+    tasks: TaskGroup,
+    name: str,
+    controller: Callable[..., Awaitable[None]],
+    *arguments: object,
+) -> None:
+    tasks.start_soon(
+        run_controller, controller, name, board.metrics, *arguments
+    )
+
+
 def _start_operator_api(
     board: AgentBoard,
     log_client: LogClient,
@@ -99,7 +114,7 @@
 ) -> None:
     change_manager = ChangeManager(board, log_client)
     address = board.settings.operator_address
-    tasks.start_soon(change_manager.draft_missing_plans)
+    _start_controller(board, tasks, 'plans', change_manager.draft_missing_plans)
     api = OperatorApi(AgentOperatorBackend(board, change_manager))
     tasks.start_soon(serve_operator_application, api, address)
 
