--- a/copperyard/entry.py
+++ b/copperyard/entry.py
@@ -79,7 +79,9 @@
         self.board.entry_ips = frozenset((settings.ip,))
         self._random = Random()
         self._pool = BackendPool(self.board.clock)
-        self._store = PlatformStore(self._pool, settings.store_address)
+        self._store = PlatformStore(
+            self._pool, settings.store_address, self.board.metrics
+        )
         self._replica = StoreReplica(
             self.board, self._store.decode_operator_record
         )
--- a/copperyard/platform/store.py
+++ b/copperyard/platform/store.py
@@ -24,6 +24,7 @@
     StoreUnavailable,
     UnreadableRecord,
 )
+from copperyard.metrics import Metrics
 from copperyard.outcomes import Answered
 from copperyard.platform.operator_records import (
     CONFIGURATION_KEY,
@@ -86,11 +87,15 @@
 
     :param pool: owns the connections to the store.
     :param address: ``ip:port`` of the store.
+    :param metrics: counts damaged responses.
     """
 
-    def __init__(self, pool: BackendPool, address: str) -> None:
+    def __init__(
+        self, pool: BackendPool, address: str, metrics: Metrics
+    ) -> None:
         self._pool = pool
         self._address = address
+        self._metrics = metrics
 
     async def read_servers(
         self,
@@ -203,7 +208,7 @@
             return StoreUnavailable(describe_failure(answer))
         match answer.status:
             case 200:
-                return _parse_body(answer.body, start)
+                return self._parse_body(answer.body, start)
             case 410:
                 return RecordsDeleted()
             case _:
@@ -237,7 +242,28 @@
         )
         if not isinstance(answer, Answered) or answer.status != _OK:
             return StoreUnavailable(describe_failure(answer))
-        return _decode_page(answer.body)
+        try:
+            return msgspec.json.decode(answer.body, type=_Page)
+        except (msgspec.DecodeError, RecursionError) as error:
+            self._metrics.count('store.page_damaged')
+            log_event('store_page_damaged', reason=str(error))
+            return _decode_damaged_page(answer.body)
+
+    def _parse_body(
+        self, body: bytes, start: int
+    ) -> tuple[_StoredRecord, ...] | StoreUnavailable:
+        """Parse the response to a read.
+
+        If it is cut off, its complete records count; the next read begins
+        after them.
+        """
+        records, end = _parse_records(body, start)
+        if end != len(body):
+            self._metrics.count('store.response_cut_off')
+            log_event('store_response_cut_off', records=len(records))
+            if not records:
+                return StoreUnavailable('response is cut off')
+        return records
 
     async def _call(
         self,
@@ -300,14 +326,6 @@
     )
 
 
-def _decode_page(body: bytes) -> _Page | StoreUnavailable:
-    try:
-        return msgspec.json.decode(body, type=_Page)
-    except (msgspec.DecodeError, RecursionError) as error:
-        log_event('store_page_damaged', reason=str(error))
-        return _decode_damaged_page(body)
-
-
 def _decode_damaged_page(body: bytes) -> _Page | StoreUnavailable:
     """Decode a page record by record, so that one record hides no other."""
     try:
@@ -336,14 +354,10 @@
     return msgspec.structs.replace(record, key=key.decode('utf-16', 'replace'))
 
 
-def _parse_body(
+def _parse_records(
     body: bytes, offset: int
-) -> tuple[_StoredRecord, ...] | StoreUnavailable:
-    """Parse the response to a read.
-
-    If it is cut off, its complete records count; the next read begins after
-    them.
-    """
+) -> tuple[tuple[_StoredRecord, ...], int]:
+    """Parse the complete records of a response, and return their end."""
     records: list[_StoredRecord] = []
     position = _OFFSETS.size
     while position < len(body):
@@ -353,11 +367,7 @@
             break
         records.append(_parse_record(body[start:end], offset + len(records)))
         position = end
-    if position != len(body):
-        if not records:
-            return StoreUnavailable('response is cut off')
-        log_event('store_response_cut_off', records=len(records))
-    return tuple(records)
+    return tuple(records), position
 
 
 def _parse_record(record: bytes, offset: int) -> _StoredRecord:
--- a/tests/test_platform_records.py
+++ b/tests/test_platform_records.py
@@ -27,9 +27,14 @@
     StoreUnavailable,
     UnreadableRecord,
 )
+from copperyard.metrics import Metrics
 from copperyard.outcomes import Answered
 from copperyard.platform.headers import read_cold_left_s, read_load
-from copperyard.platform.lookups import encode_lookup, read_caller_domain
+from copperyard.platform.lookups import (
+    LOOKUP_PATH,
+    encode_lookup,
+    read_caller_domain,
+)
 from copperyard.platform.operator_records import decode_configuration
 from copperyard.platform.server_registrations import (
     decode_server_registration,
@@ -310,7 +315,7 @@
 
     Unknown and invalid records are reported as unreadable.
     """
-    store = PlatformStore(BackendPool(), '127.0.0.1:1')
+    store = PlatformStore(BackendPool(), '127.0.0.1:1', Metrics())
     value = json.dumps(build_configuration()).encode()
     decoded = [
         store.decode_operator_record(OperatorRecord(name, content, 1))
@@ -440,6 +445,16 @@
     }
 
 
+@hypothesis.settings(derandomize=True, deadline=None)
+@given(st.binary())
+@hypothesis.example(b'?zone=%ff%ed%a0%80&zone=[')
+@hypothesis.example(b'//[::1?zone=a')
+def test_any_lookup_is_read(suffix):
+    """Guards against a query that ends the connection of the caller."""
+    domain = read_caller_domain(LOOKUP_PATH.encode() + suffix)
+    assert isinstance(domain, str)
+
+
 @pytest.mark.anyio
 async def test_store_reads_all_servers_then_changes():
     """Guards against changes that are skipped between two reads.
@@ -449,7 +464,7 @@
     server = PlatformServerStandIn('s1')
     async with run_platform(server) as platform:
         with BackendPool(seconds_since_boot) as pool:
-            store = PlatformStore(pool, platform.store_address)
+            store = PlatformStore(pool, platform.store_address, Metrics())
             full = await store.read_servers(None)
             assert full.is_full
             assert [change.server_id for change in full.changes] == ['s1']
@@ -473,7 +488,7 @@
     """
     async with run_platform(PlatformServerStandIn('s1')) as platform:
         with BackendPool(seconds_since_boot) as pool:
-            store = PlatformStore(pool, platform.store_address)
+            store = PlatformStore(pool, platform.store_address, Metrics())
             platform.store.delete_history('keyed.servers')
             assert await store.read_servers(0) == RecordsDeleted()
             platform.store.outage = True
@@ -490,7 +505,7 @@
 
 def build_store(monkeypatch, *bodies):
     """Build a store whose calls return the given bodies one after another."""
-    store = PlatformStore(BackendPool(), '127.0.0.1:1')
+    store = PlatformStore(BackendPool(), '127.0.0.1:1', Metrics())
     answers = iter(bodies)
 
     async def call(*_):
@@ -514,6 +529,7 @@
     assert [change.slots for change in batch.changes] == [4]
     assert isinstance(await store.read_servers(6), StoreUnavailable)
     assert isinstance(await store.read_servers(6), StoreUnavailable)
+    assert store._metrics.counts_by_name['store.response_cut_off'] == 3
 
 
 @pytest.mark.anyio
@@ -550,6 +566,7 @@
     batch = await store.read_servers(None)
     assert [change.server_id for change in batch.changes] == ['s1']
     assert len(batch.damaged_ids) == 1
+    assert store._metrics.counts_by_name['store.page_damaged'] == 1
     json.dumps(batch.damaged_ids, ensure_ascii=False).encode()
 
 
@@ -605,7 +622,7 @@
     """
     async with run_platform() as platform:
         with BackendPool(seconds_since_boot) as pool:
-            store = PlatformStore(pool, platform.store_address)
+            store = PlatformStore(pool, platform.store_address, Metrics())
             assert await store.register_entry('10.0.0.1') is None
             assert await store.register_entry('10.0.0.2') is None
             assert await store.remove_entry('10.0.0.1') is None
