Report records of the log that an agent skips as damaged

New records are applied in two places, from the log and from peers, and both report to the board. The board now logs and counts the records that were added to the damaged ones of a stream.

--- a/copperyard/blackboard.py
+++ b/copperyard/blackboard.py
@@ -10,6 +10,7 @@
 from copperyard.exchanges import BackendPool
 from copperyard.grants import Grant, GrantTracker
 from copperyard.log_follower import LogFollower
+from copperyard.logs import log_event
 from copperyard.membership import HeartbeatTable, ViewHistory
 from copperyard.messages_pb2 import ProxyReport
 from copperyard.metrics import Metrics
@@ -148,6 +149,8 @@
     has_joined: bool = False
     goodbye: bool = False
     changed: Signal = field(default_factory=Signal)
+    # Damaged records that have been reported already.
+    _damaged_counts_by_stream: dict[str, int] = field(default_factory=dict)
 
     @property
     def configuration(self) -> Configuration:
@@ -189,6 +192,7 @@
 
         :param now: time at which the records were read.
         """
+        self._report_damaged_records()
         self.handover.apply(self.history, now)
         self.changed.fire()
 
@@ -212,6 +216,15 @@
             or self.proxy.report.stopping
         )
 
+    def _report_damaged_records(self) -> None:
+        for stream in self.streams:
+            count = self.follower(stream).replica_state.damaged_count
+            added = count - self._damaged_counts_by_stream.get(stream, 0)
+            if added > 0:
+                self.metrics.count('record.damaged', added)
+                log_event('record_damaged', stream=stream, count=added)
+            self._damaged_counts_by_stream[stream] = count
+
 
 @dataclass(slots=True, kw_only=True)
 class ProxyBoard:
--- a/tests/test_agent_inputs.py
+++ b/tests/test_agent_inputs.py
@@ -136,6 +136,9 @@
         reply.records.add(offset=offset, body=body)
     assert apply_relay_reply(follower, reply)
     assert follower.replica_state.damaged_count == 2
+    board.handle_new_records(1.0)
+    board.handle_new_records(2.0)
+    assert board.metrics.counts_by_name['record.damaged'] == 2
 
 
 @pytest.mark.timeout(5)
