Name the first invalid setting in the order of the file's reader

The seeds were read before all other settings, so an error in them hid one in the name or the address, and the message repeated the value that it quotes. tests/test_request_logs.py failed: "seeds: expected `array`, got `null`, got None" instead of "ip: expected str".

--- a/copperyard/platform/settings.py
+++ b/copperyard/platform/settings.py
@@ -45,7 +45,8 @@
         try:
             return cast(_Value, msgspec.convert(found, value_type))
         except msgspec.ValidationError as error:
-            self._keep_error(path, str(error), found)
+            expected = str(error).partition(', got ')[0].replace('`', '')
+            self._keep_error(path, expected, found)
             return default
 
     def read_ip(self, path: str) -> str:
@@ -101,7 +102,6 @@
     :returns: the settings, or the error in the first invalid field.
     """
     reader = _FieldReader(raw)
-    seeds: list[str] = reader.read('seeds', list[str], [])
     settings = EntrySettings(
         entry_id=reader.read('node-name', str, ''),
         ip=reader.read_ip('ip'),
@@ -121,7 +121,9 @@
         # "seeds" are the "admin" addresses of entries; only the IP is used.
         # Those that are not an IP address are left out when they are contacted.
         seed_ips=tuple(
-            seed.rpartition(':')[0] for seed in seeds if ':' in seed
+            seed.rpartition(':')[0]
+            for seed in _read_seeds(reader)
+            if ':' in seed
         ),
         store_address=reader.read_address('platform.address'),
         max_descriptors=(
@@ -134,6 +136,11 @@
     return Success(settings)
 
 
+def _read_seeds(reader: _FieldReader) -> list[str]:
+    seeds: list[str] = reader.read('seeds', list[str], [])
+    return seeds
+
+
 def _read_bounds(reader: _FieldReader) -> EntryBounds:
     return EntryBounds(
         grace_s=reader.read('bounds.grace-s', _Bound, 0.0),
