--- a/copperyard/store_replica.py
+++ b/copperyard/store_replica.py
@@ -79,10 +79,7 @@
         :param read_at: when the read began, ``CLOCK_BOOTTIME`` in seconds.
         """
         for record in batch.records:
-            current = self._records_by_name.get(record.name)
-            if current is None or record.offset > current.offset:
-                self._records_by_name[record.name] = record
-                self._apply_record(record)
+            self._apply_if_newer(record)
         if batch.is_full and batch.end >= self.operator_end:
             self._remove_missing_records(batch)
         self.operator_end = max(self.operator_end, batch.end)
@@ -221,7 +218,17 @@
                 log_event('server_changed', change=repr(change))
         return tuple(changed)
 
-    def _apply_record(self, record: OperatorRecord) -> None:
+    def _apply_if_newer(self, record: OperatorRecord) -> None:
+        current = self._records_by_name.get(record.name)
+        if current is not None and record.offset <= current.offset:
+            return
+        is_readable = self._apply_record(record)
+        # Snapshots for other entries keep the last readable record.
+        if is_readable or current is None:
+            self._records_by_name[record.name] = record
+
+    def _apply_record(self, record: OperatorRecord) -> bool:
+        """Apply a record, and return whether it could be read."""
         board = self._board
         change = self._decode_record(record)
         match change:
@@ -241,6 +248,8 @@
             case UnreadableRecord(name=name):
                 board.metrics.count('operator_record.damaged')
                 log_event('operator_record_damaged', name=name)
+                return False
+        return True
 
     def _remove_missing_records(self, batch: OperatorBatch) -> None:
         present_names = {record.name for record in batch.records}
--- a/tests/test_store_replica.py
+++ b/tests/test_store_replica.py
@@ -68,6 +68,22 @@
     assert board.routes.version == 7
 
 
+def test_snapshot_holds_last_readable_configuration():
+    """Guards against an entry without routes that starts from a snapshot.
+
+    While the store is unavailable, the newest configuration is damaged.
+    """
+    replica, _ = build_replica()
+    for offset, value in enumerate((b'7', b'??', b'!')):
+        batch = build_operator_batch(
+            ('config', value, offset), end=offset + 1, is_full=True
+        )
+        replica.apply_operator_batch(batch, 1.0)
+    other, board = build_replica()
+    other.apply_snapshot(replica.build_snapshot(2.0), 2.0)
+    assert board.routes.version == 7
+
+
 def test_evacuation_ends_when_full_read_lacks_its_record():
     """Guards against a failure domain that stays out of service.
 
