Count load probes as requests in flight on their server

Callers would see requests fail when a cold backend server gets a load probe beside a request: a probe occupies a slot of the server, so an allowance of 1 is exceeded, and the server resets its connections and refuses new ones for a second.

The probe controller sent each probe that was due without regard to the requests in flight, and a probe in flight did not keep the router from sending a request.

A probe now acquires a slot from the router and holds it until it ends. It is not sent while the allowance of a cold server is in use; the response in flight reports the load instead. A warm server is probed as before, and so is one whose limit is closed by a drain, because only a probe can report the end of the drain.

Without the change, test_cold_server_in_use_is_not_probed failed with `assert not 1` (one probe at the server), and test_cold_server_gets_no_request_during_a_probe acquired a LocalSlot of b1 while the probe was running.

--- a/copperyard/limits.py
+++ b/copperyard/limits.py
@@ -255,6 +255,19 @@
             return 0
         return self._round_number
 
+    def permits_probe(self, in_flight: int, now: float) -> bool:
+        """Whether a load probe may be sent in addition to the requests.
+
+        A probe occupies a slot of the server. A warm server queues it if
+        needed; a cold one may fail. A limit closed for requests permits
+        probes, because only they can report the end of a drain.
+
+        :param in_flight: requests and probes in flight.
+        :param now: time in seconds.
+        """
+        occupied = in_flight + self._count_foreign(now)
+        return self.is_warm or occupied < self._window
+
     def record_attempt(
         self,
         outcome: AttemptOutcome,
@@ -403,13 +416,16 @@
             limit = min(limit, self._constraints.slot_bound)
         if self._authority_level is AuthorityLevel.REDUCED:
             limit = min(limit, self._constraints.slots // 2)
-        foreign_in_flight = self._constraints.foreign_in_flight
-        if now < self._takeover_busy_until:
-            foreign_in_flight = max(foreign_in_flight, self._takeover_busy)
         self.limit = (
-            0 if self._is_closed() else max(limit - foreign_in_flight, 0)
+            0 if self._is_closed() else max(limit - self._count_foreign(now), 0)
         )
 
+    def _count_foreign(self, now: float) -> int:
+        foreign_in_flight = self._constraints.foreign_in_flight
+        if now < self._takeover_busy_until:
+            return max(foreign_in_flight, self._takeover_busy)
+        return foreign_in_flight
+
     def _is_closed(self) -> bool:
         if self._drain_reported_at is not None or not self._authority_level:
             return True
--- a/copperyard/probe_controller.py
+++ b/copperyard/probe_controller.py
@@ -11,11 +11,13 @@
 from copperyard.authority import AuthorityLevel
 from copperyard.blackboard import ProxyBoard
 from copperyard.clock import seconds_since_boot
-from copperyard.grants import ServerGrant
+from copperyard.exchanges import ForwardResult
 from copperyard.limits import LoadReport
 from copperyard.logs import log_event
-from copperyard.outcomes import Answered
+from copperyard.outcomes import Answered, AttemptOutcome
 from copperyard.requests import CallerRequest, generate_request_id
+from copperyard.routing import LocalSlot
+from copperyard.slots import SlotAllocator
 
 PROBE_PATH: Final = b'/copperyard/load'
 PROBE_TIMEOUT_S: Final = 1.0
@@ -23,56 +25,82 @@
 SLEEP_MAX_S: Final = 0.25
 
 
-async def send_probes(board: ProxyBoard, tasks: TaskGroup) -> None:
+async def send_probes(
+    board: ProxyBoard,
+    slots: SlotAllocator,
+    tasks: TaskGroup,
+) -> None:
     """Send probes until cancelled.
 
+    A probe that is due while the allowance of a cold server is in use is not
+    sent; the response to the request in flight replaces it.
+
     :param board: state of the proxy.
+    :param slots: assigns the slots that probes release to queued requests.
     :param tasks: task group in which the probes run.
     """
     while True:
         now = seconds_since_boot()
         for server_id in board.probes.take_due(now):
-            grant = board.grant
-            if grant is not None and server_id in grant.servers_by_id:
-                server = grant.servers_by_id[server_id]
-                tasks.start_soon(_probe, board, server)
+            slot = board.router.acquire_for_probe(server_id, now)
+            if slot is None:
+                board.metrics.count('probe.skipped')
+            else:
+                tasks.start_soon(_probe, board, slots, slot)
         wait_s = board.probes.next_due() - seconds_since_boot()
         await anyio.sleep(min(max(wait_s, 0), SLEEP_MAX_S))
 
 
-async def _probe(board: ProxyBoard, server: ServerGrant) -> None:
+async def _probe(
+    board: ProxyBoard, slots: SlotAllocator, slot: LocalSlot
+) -> None:
+    try:
+        result = await _forward_probe(board, slot)
+    finally:
+        board.router.release(slot, AttemptOutcome.UNUSED, seconds_since_boot())
+    # The report applies before the slot is assigned to a queued request.
+    _apply_result(board, slot.server_id, result)
+    slots.dispatch()
+
+
+async def _forward_probe(board: ProxyBoard, slot: LocalSlot) -> ForwardResult:
     board.metrics.count('probe.sent')
     now = seconds_since_boot()
     attempt = Attempt(
-        request=_build_probe(server.service),
+        request=_build_probe(slot.service),
         body=b'',
         deadline=now + PROBE_TIMEOUT_S,
         response_timeout_s=PROBE_TIMEOUT_S,
-        may_send=lambda: _may_probe(board, server.server_id),
+        may_send=lambda: _may_probe(board, slot.server_id),
     )
     address = ServerAddress(
-        server.server_id, server.address, _find_connection_limit(board)
+        slot.server_id, slot.address, _find_connection_limit(board)
     )
-    result = await board.pool.forward(address, attempt)
+    return await board.pool.forward(address, attempt)
+
+
+def _apply_result(
+    board: ProxyBoard, server_id: str, result: ForwardResult
+) -> None:
     match result:
         case Answered(status=200, body=body):
             match parse_load_report(body):
                 case Success(report):
                     board.router.apply_load_report(
-                        server.server_id, report, seconds_since_boot()
+                        server_id, report, seconds_since_boot()
                     )
                 case Failure(detail):
                     board.metrics.count('load_report.malformed')
                     log_event(
                         'probe_malformed',
-                        server_id=server.server_id,
+                        server_id=server_id,
                         detail=detail,
                     )
         case AttemptFailure(kind=kind):
             board.metrics.count('probe.failed')
             log_event(
                 'probe_failed',
-                server_id=server.server_id,
+                server_id=server_id,
                 reason=str(kind),
             )
 
--- a/copperyard/proxy.py
+++ b/copperyard/proxy.py
@@ -87,7 +87,7 @@
         _start_feed_tasks(
             FeedController(board, slots, loans, claims, channels), tasks
         )
-        tasks.start_soon(send_probes, board, tasks)
+        tasks.start_soon(send_probes, board, slots, tasks)
         tasks.start_soon(monitor_drain, board, claims)
         hedges = HedgeScheduler()
         tasks.start_soon(hedges.run)
--- a/copperyard/routing.py
+++ b/copperyard/routing.py
@@ -295,6 +295,21 @@
             self._select_of_two(free_servers, service_state, now)
         )
 
+    def acquire_for_probe(self, server_id: str, now: float) -> LocalSlot | None:
+        """Acquire a slot for a load probe, which the caller must release.
+
+        :param server_id: id of the backend server.
+        :param now: time in seconds.
+        :returns: the slot; ``None`` if the server is unknown, or cold with its
+            allowance in use.
+        """
+        server = self._servers_by_id.get(server_id)
+        if server is None or not server.limiter.permits_probe(
+            server.in_flight, now
+        ):
+            return None
+        return self._acquire_slot(server)
+
     def release(
         self,
         slot: LocalSlot,
