Reset a server's limit to cold when the connection of a probe fails

Callers would see requests fail after a backend server restarts while it has no requests: the server is cold, but its owner sends it the load of a warm one, and a cold server that gets more than its allowance resets all its connections.

A failed connection of a request, or a reset idle one, already resets the limit to the cold allowance, but the connection of a probe that was refused or reset was only counted and logged.

Without the change, test_failed_probe_resets_the_limit_to_cold failed for a refused and for a reset connection with `assert 2 == 1`: the limit stayed above the allowance. Now the probe controller reports such failures to the router in the same way as the connection pool. Probes that time out, as those of a server that is only slow, do not reset the limit.

--- a/copperyard/probe_controller.py
+++ b/copperyard/probe_controller.py
@@ -7,7 +7,12 @@
 from anyio.abc import TaskGroup
 from returns.result import Failure, Result, Success
 
-from copperyard.attempt_types import Attempt, AttemptFailure, ServerAddress
+from copperyard.attempt_types import (
+    Attempt,
+    AttemptFailure,
+    FailureKind,
+    ServerAddress,
+)
 from copperyard.authority import AuthorityLevel
 from copperyard.blackboard import ProxyBoard
 from copperyard.clock import seconds_since_boot
@@ -23,6 +28,9 @@
 PROBE_TIMEOUT_S: Final = 1.0
 # Limits the sleep, so that a changed grant is noticed soon.
 SLEEP_MAX_S: Final = 0.25
+_CONNECTION_FAILURES: Final = frozenset(
+    (FailureKind.CONNECT_FAILED, FailureKind.RESET, FailureKind.TRUNCATED),
+)
 
 
 async def send_probes(
@@ -98,6 +106,10 @@
                     )
         case AttemptFailure(kind=kind):
             board.metrics.count('probe.failed')
+            if kind in _CONNECTION_FAILURES:
+                board.router.handle_connection_failure(
+                    server_id, seconds_since_boot()
+                )
             log_event(
                 'probe_failed',
                 server_id=server_id,
--- a/copperyard/proxy.py
+++ b/copperyard/proxy.py
@@ -61,7 +61,7 @@
         router=router,
         probes=ProbeSchedule(random),
         pool=BackendPool(
-            on_reset=lambda server: router.handle_idle_reset(
+            on_reset=lambda server: router.handle_connection_failure(
                 server, seconds_since_boot()
             ),
         ),
--- a/copperyard/routing.py
+++ b/copperyard/routing.py
@@ -356,11 +356,11 @@
         if server is not None:
             server.limiter.apply_load_report(load, server.in_flight, now)
 
-    def handle_idle_reset(self, server_id: str, now: float) -> None:
-        """Treat a server as cold because its idle connections were reset.
+    def handle_connection_failure(self, server_id: str, now: float) -> None:
+        """Treat a server as cold because a connection without request failed.
 
-        For a server that restarts while no request is in flight, this is the
-        only sign of the restart.
+        For a server that restarts while no request is in flight, a reset idle
+        connection or a failed probe is the only sign of the restart.
 
         :param server_id: id of the backend server; ignored if unknown.
         :param now: time in seconds.
--- a/tests/test_probe_controller.py
+++ b/tests/test_probe_controller.py
@@ -11,7 +11,7 @@
 from copperyard.clock import seconds_since_boot
 from copperyard.exchanges import BackendPool
 from copperyard.grants import Grant, ServerGrant
-from copperyard.limits import LoadReport, LoadState
+from copperyard.limits import COLD_HOLD_S, LoadReport, LoadState
 from copperyard.metrics import Metrics
 from copperyard.outcomes import AttemptOutcome
 from copperyard.probe_controller import send_probes
@@ -128,17 +128,41 @@
         assert server.probe_count == 1
 
 
+def _warm_up(board):
+    """End the cold phase of the limit, but not that of the server."""
+    now = seconds_since_boot()
+    slot = board.router.acquire('orders', now)
+    board.router.release(slot, AttemptOutcome.ANSWERED, now + 2 * COLD_HOLD_S)
+    assert board.router.slots_by_service()['orders'] > _SERVICE.cold_allowance
+
+
 async def test_warm_server_in_use_is_probed():
     """Guards against a busy, silent server whose load is never measured."""
     async with _open_board() as (board, server):
-        now = seconds_since_boot()
         server.cold_until = 0.0
-        slot = board.router.acquire('orders', now)
-        # Ends the cold phase of the limit.
-        later = now + 2
-        board.router.release(slot, AttemptOutcome.ANSWERED, later)
-        while board.router.acquire('orders', later):
+        _warm_up(board)
+        while board.router.acquire('orders', seconds_since_boot()):
             continue
         async with _send_probes(board):
             await anyio.sleep(_PROBE_WAIT_S)
         assert server.probe_count == 1
+
+
+@pytest.mark.parametrize('failure', ['refused', 'reset'])
+async def test_failed_probe_resets_the_limit_to_cold(failure):
+    """Guards against a restarted server that gets the load of a warm one.
+
+    The connection of a probe is the first to fail if the server restarts while
+    it has no requests.
+    """
+    async with _open_board() as (board, server):
+        _warm_up(board)
+        if failure == 'refused':
+            server.close_listener(0)
+        else:
+            # The next probe or request exceeds the allowance.
+            server.busy_slots += 1
+        async with _send_probes(board):
+            await anyio.sleep(_PROBE_WAIT_S)
+        slots = board.router.slots_by_service()['orders']
+        assert slots == _SERVICE.cold_allowance
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -326,8 +326,8 @@
     router = build_router(grant('s1'))
     warm_up(router)
     assert router.slots_by_service() == {'pagos': 4}
-    router.handle_idle_reset('s1', 2.0)
-    router.handle_idle_reset('s9', 2.0)
+    router.handle_connection_failure('s1', 2.0)
+    router.handle_connection_failure('s9', 2.0)
     assert router.slots_by_service() == {'pagos': 2}
 
 
