--- a/copperyard/routing.py
+++ b/copperyard/routing.py
@@ -295,6 +295,21 @@
             self._select_of_two(free_servers, service_state, now)
         )
 
+    def acquire_for_probe(self, server_id: str, now: float) -> LocalSlot | None:
+        """Acquire a slot for a load probe, which the caller must release.
+
+        :param server_id: id of the backend server.
+        :param now: time in seconds.
+        :returns: the slot; ``None`` if the server is unknown, or cold with its
+            allowance in use.
+        """
+        server = self._servers_by_id.get(server_id)
+        if server is None or not server.limiter.permits_probe(
+            server.in_flight, now
+        ):
+            return None
+        return self._acquire_slot(server)
+
     def release(
         self,
         slot: LocalSlot,
@@ -341,11 +356,11 @@
         if server is not None:
             server.limiter.apply_load_report(load, server.in_flight, now)
 
-    def handle_idle_reset(self, server_id: str, now: float) -> None:
-        """Treat a server as cold because its idle connections were reset.
+    def handle_connection_failure(self, server_id: str, now: float) -> None:
+        """Treat a server as cold because a connection without request failed.
 
-        For a server that restarts while no request is in flight, this is the
-        only sign of the restart.
+        For a server that restarts while no request is in flight, a reset idle
+        connection or a failed probe is the only sign of the restart.
 
         :param server_id: id of the backend server; ignored if unknown.
         :param now: time in seconds.
