--- a/tests/test_agent_inputs.py
+++ b/tests/test_agent_inputs.py
@@ -25,7 +25,7 @@
 from copperyard.relay_controller import apply_relay_reply
 from copperyard.serving import serve_grpc
 from copperyard.snapshots import (
-    VIEW_STATE_MACHINE,
+    VIEW_HISTORY_STATE_MACHINE,
     join_parts,
     restore_snapshot,
 )
@@ -123,7 +123,7 @@
 @example(b'\x80' * 50)
 def test_any_snapshot_is_restored_or_refused(content):
     """Guards against a snapshot of a peer that ends the agent."""
-    restored = restore_snapshot(VIEW_STATE_MACHINE, content)
+    restored = restore_snapshot(VIEW_HISTORY_STATE_MACHINE, content)
     assert isinstance(restored, Success | Failure)
 
 
--- a/tests/test_caller_connections.py
+++ b/tests/test_caller_connections.py
@@ -311,7 +311,10 @@
         return self
 
     def __exit__(self, *error):
-        pass
+        self.close()
+
+    def close(self):
+        """Release nothing."""
 
     async def read_part(self):
         """Wait, then return the end of the body."""
--- a/tests/test_proxy_faults.py
+++ b/tests/test_proxy_faults.py
@@ -7,7 +7,6 @@
 
 from copperyard.caller_api import CallerApi
 from copperyard.clock import seconds_since_boot
-from copperyard.grants import ServerGrant
 from copperyard.hedging import HedgedAttempt
 from copperyard.metrics import Metrics
 from copperyard.outcomes import Answered
@@ -129,28 +128,33 @@
 
 
 async def test_fault_of_a_probe_ends_only_the_probe():
-    """Guards against a probe that ends the process."""
-    server = ServerGrant(
-        server_id='b1',
-        service='orders',
-        address='127.0.0.1:9',
-        failure_domain='a',
-        owned=True,
+    """Guards against a probe that ends the process or keeps its slot."""
+    slot = SimpleNamespace(
+        server_id='b1', service='orders', address='127.0.0.1:9'
     )
+    acquired, released = [], []
+
+    def acquire(server_id, now):
+        acquired.append(slot)
+        return slot
+
     board = build_board(
         pool=FaultyForwarder(),
         probes=SimpleNamespace(
             take_due=lambda now: ('b1',),
             next_due=lambda: seconds_since_boot() + 0.01,
         ),
-        grant=SimpleNamespace(
-            servers_by_id={'b1': server}, services_by_name={}
+        grant=SimpleNamespace(services_by_name={}),
+        router=SimpleNamespace(
+            acquire_for_probe=acquire,
+            release=lambda slot, *_: released.append(slot),
         ),
     )
     with anyio.move_on_after(0.1):
         async with anyio.create_task_group() as tasks:
-            await send_probes(board, tasks)
+            await send_probes(board, None, tasks)
     assert board.metrics.counts_by_name['fault.contained'] > 1
+    assert acquired == released
 
 
 @pytest.mark.parametrize('size', [0, 3])
