Close streamed responses that nobody reads at their deadline

A caller that stops reading a large response, or that leaves while it waits behind another response on its connection, held the connection to the server and its slot for as long as the server kept the connection open. With a few such callers the connection limit of the server was used up.

The deadline was applied only while a part of the body was being read. The entry also ends the transfer to a caller at the deadline, and closes the streamed responses that are still queued when a caller's connection ends. A response that was closed early returns a failure instead of the empty part that marks the end of a complete body.

--- a/copperyard/caller_connections.py
+++ b/copperyard/caller_connections.py
@@ -8,6 +8,7 @@
 
 from collections import deque
 from collections.abc import Awaitable, Callable
+from contextlib import ExitStack
 from dataclasses import dataclass, field
 from typing import Final
 
@@ -247,11 +248,18 @@
 
     async def run(self) -> None:
         """Serve the connection until either side closes it."""
-        with self._scope:
+        with ExitStack() as stack:
+            stack.callback(self._close_streams)
+            stack.enter_context(self._scope)
             async with self._stream, anyio.create_task_group() as group:
                 group.start_soon(self._write_responses, group.cancel_scope)
                 await self._read(group)
 
+    def _close_streams(self) -> None:
+        for pending in self._pending_responses:
+            if pending.response is not None and pending.response.stream:
+                pending.response.stream.close()
+
     async def _read(self, group: anyio.abc.TaskGroup) -> None:
         while self._is_reading:
             content = await self._receive_bytes()
@@ -382,7 +390,8 @@
         chunked = uses_chunked_coding(response)
         if stream is None:
             return True
-        with stream:
+        remaining_s = stream.deadline - self._callbacks.clock()
+        with stream, anyio.move_on_after(remaining_s):
             while True:
                 part = await stream.read_part()
                 if isinstance(part, AttemptFailure):
@@ -391,6 +400,7 @@
                     return False
                 if not part:
                     return True
+        return False
 
     async def _send(self, content: bytes) -> bool:
         try:
--- a/copperyard/entry.py
+++ b/copperyard/entry.py
@@ -53,9 +53,9 @@
 # Interval between checks for idle connections while draining; short compared
 # with the grace time of some seconds.
 DRAIN_POLL_INTERVAL_S: Final = 0.05
-# Interval between checks for expired idle connections to backend servers, whose
-# idle timeouts are some seconds.
-IDLE_CLOSE_INTERVAL_S: Final = 1.0
+# Interval between checks for idle connections to backend servers and streamed
+# responses that have expired; their timeouts are some seconds.
+EXPIRY_CHECK_INTERVAL_S: Final = 1.0
 # Share of the descriptors for callers; the others are for connections to
 # backend servers and other entries.
 CALLER_DESCRIPTORS_SHARE: Final = 0.6
@@ -141,7 +141,7 @@
         group.start_soon(poller.poll_operator_records)
         group.start_soon(poller.poll_servers)
         group.start_soon(poller.register)
-        group.start_soon(self._close_idle)
+        group.start_soon(self._close_expired)
         group.start_soon(self._settings_reloader.run)
 
     async def _listen(self, group: TaskGroup, api: EntryApi) -> None:
@@ -194,10 +194,11 @@
     def _is_leaving(self) -> bool:
         return self.board.is_leaving
 
-    async def _close_idle(self) -> None:
+    async def _close_expired(self) -> None:
         while True:
-            await anyio.sleep(IDLE_CLOSE_INTERVAL_S)
+            await anyio.sleep(EXPIRY_CHECK_INTERVAL_S)
             self._pool.close_expired_idle(self.board.clock())
+            self._pool.close_expired_streams(self.board.clock())
 
     async def _handle_signals(
         self, signals: AsyncIterator[signal.Signals]
--- a/copperyard/exchanges.py
+++ b/copperyard/exchanges.py
@@ -15,6 +15,7 @@
     FailureKind,
     ServerAddress,
 )
+from copperyard.clock import seconds_since_boot
 from copperyard.connections import (
     FRESH_IDLE_MAX_S,
     IDLE_MAX_S,
@@ -22,6 +23,7 @@
     ConnectionPool,
 )
 from copperyard.http_codec import ResponseHead, ResponseParser, encode_request
+from copperyard.logs import log_event
 from copperyard.outcomes import Answered
 from copperyard.requests import compute_remaining_ms
 
@@ -56,11 +58,14 @@
     """A response too large to buffer, whose body is read in parts.
 
     It occupies its connection until it is closed: use it as a context manager
-    or call ``close``.
+    or call ``close``. The pool closes it at its deadline if nothing reads it.
 
     :ivar status: HTTP status.
     :ivar headers: raw header pairs, without hop-by-hop headers.
     :ivar server_id: backend server that sent the response.
+    :ivar deadline: when the caller's time is over, ``CLOCK_BOOTTIME`` in
+        seconds.
+    :ivar is_closed: whether it no longer occupies a connection.
     :ivar on_closed: called once, when the response was read completely or
         abandoned; the attempt's slot on the server is held until then.
     """
@@ -69,6 +74,8 @@
         self.status = head.status
         self.headers = head.headers
         self.server_id = exchange.server.server_id
+        self.deadline = exchange.deadline
+        self.is_closed = False
         self.on_closed: Callable[[], None] | None = None
         self._exchange = exchange
 
@@ -97,6 +104,7 @@
     def close(self) -> None:
         """Close the connection unless the response was read completely."""
         self._exchange.close()
+        self.is_closed = True
         if self.on_closed is not None:
             on_closed = self.on_closed
             self.on_closed = None
@@ -116,6 +124,7 @@
         attempt: Attempt,
     ) -> None:
         self.server = server
+        self.deadline = attempt.deadline
         self.scope = anyio.CancelScope()
         self._pool = pool
         self._attempt = attempt
@@ -129,6 +138,7 @@
             allows_close_delimited=self._dialect.allows_close_delimited,
         )
         self._is_early_response = False
+        self._is_finished = False
         self._parts: list[bytes] = []
         self._written_bytes = 0
         self._sent_at: float | None = None
@@ -162,8 +172,12 @@
             part = b''.join(self._parts)
             self._parts.clear()
             return part
-        if self._connection is None:
+        if self._is_finished:
             return b''
+        if self._connection is None:
+            return self._build_failure(
+                FailureKind.TRUNCATED, 'closed before the end of the body'
+            )
         part_or_failure: bytes | AttemptFailure | None = None
         self.scope = anyio.CancelScope()
         self._set_timeout()
@@ -180,7 +194,11 @@
         )
 
     def close(self) -> None:
-        """Close the connection unless it was returned to the pool."""
+        """Close the connection unless it was returned to the pool.
+
+        What was read of the body and not taken yet is dropped.
+        """
+        self._parts.clear()
         if self._connection is not None:
             self._pool.close(self._connection)
             self._connection = None
@@ -360,6 +378,7 @@
 
     def _release(self, connection: Connection) -> None:
         self._connection = None
+        self._is_finished = True
         if self._parser.is_reusable and not self._is_early_response:
             connection.max_idle_s = self._find_max_idle_s()
             self._pool.release(connection)
@@ -426,7 +445,20 @@
 
 
 class BackendPool(ConnectionPool):
-    """Connection pool that forwards requests to backend servers."""
+    """Connection pool that forwards requests to backend servers.
+
+    :param clock: as for ``ConnectionPool``.
+    :param on_reset: as for ``ConnectionPool``.
+    """
+
+    def __init__(
+        self,
+        clock: Callable[[], float] = seconds_since_boot,
+        on_reset: Callable[[str], None] | None = None,
+    ) -> None:
+        super().__init__(clock, on_reset)
+        # May contain responses that were closed since the last check.
+        self._streams: list[StreamedResponse] = []
 
     async def forward(
         self,
@@ -449,10 +481,27 @@
             with exchange.scope:
                 result = await exchange.run()
         finally:
-            if not isinstance(result, StreamedResponse):
+            if isinstance(result, StreamedResponse):
+                self._streams.append(result)
+            else:
                 exchange.close()
         return result or exchange.build_timeout_failure()
 
+    def close_expired_streams(self, now: float) -> None:
+        """Close streamed responses whose deadline has passed.
+
+        A deadline only ends a read. A response whose caller does not read, or
+        that waits behind another response, is not being read.
+
+        :param now: ``CLOCK_BOOTTIME`` in seconds.
+        """
+        opened = [stream for stream in self._streams if not stream.is_closed]
+        self._streams = [stream for stream in opened if now < stream.deadline]
+        for stream in opened:
+            if now >= stream.deadline:
+                log_event('stream_expired', server=stream.server_id)
+                stream.close()
+
 
 def _encode_attempt(
     attempt: Attempt,
--- a/tests/test_endless_bytes.py
+++ b/tests/test_endless_bytes.py
@@ -133,6 +133,7 @@
         while True:
             await anyio.sleep(0.05)
             pool.close_expired_idle(pool.clock())
+            pool.close_expired_streams(pool.clock())
 
     with BackendPool() as pool:
         async with anyio.create_task_group() as group:
@@ -285,3 +286,52 @@
         assert result.kind is FailureKind.NOT_RUN
         assert pool.clock() - started_at < DEADLINE_S / 2
         await server.wait_until_closed(MARGIN_S)
+
+
+async def test_streamed_response_nobody_reads_ends_at_its_deadline():
+    """Guards against a connection held by a caller that does not read.
+
+    A response that was closed at its deadline must not look complete either.
+    """
+    async with (
+        running_server('chunks') as server,
+        running_pool() as pool,
+        running_entry(server, pool) as port,
+    ):
+        response = await forward(pool, server)
+        closed = anyio.Event()
+        response.on_closed = closed.set
+        _, writer = await asyncio.open_connection('127.0.0.1', port, limit=1)
+        writer.transport.pause_reading()
+        writer.write(b'GET /a/x HTTP/1.1\r\nHost: h.example\r\n\r\n')
+        await server.wait_until_closed(DEADLINE_S + MARGIN_S)
+        assert closed.is_set()
+        while part := await response.read_part():
+            if isinstance(part, AttemptFailure):
+                break
+        assert isinstance(part, AttemptFailure)
+        assert isinstance(await response.read_part(), AttemptFailure)
+        writer.transport.abort()
+
+
+async def test_streamed_response_behind_a_slow_one_ends_with_the_caller():
+    """Guards against a leaked connection when a caller leaves.
+
+    The response to its second request waits for that to the first one, so
+    nothing reads it.
+    """
+    async with running_server('chunks') as server, running_pool() as pool:
+        streamed = await forward(pool, server)
+
+        async def handle(request):
+            if request.target == b'/slow':
+                await anyio.sleep_forever()
+            return build_response(streamed)
+
+        async with serving_callers(handle) as port:
+            _, writer = await asyncio.open_connection('127.0.0.1', port)
+            for target in (b'/slow', b'/a'):
+                writer.write(b'GET %b HTTP/1.1\r\nHost: h\r\n\r\n' % target)
+            await anyio.sleep(0.05)
+            writer.transport.abort()
+            await server.wait_until_closed(0.2)
