Close kept streamed responses when a request is cancelled

If a server answers with an error whose body is too large to buffer, the response is kept while another server is tried. A caller that left during that time cancelled the dispatch, and the kept response stayed open with its connection.

Only a dispatch that ended normally closed what it did not return. An exit stack now closes the kept responses unless the dispatch returns.

The new test failed before with a TimeoutError while it waited for the server to see its connection closed.

--- a/copperyard/dispatching.py
+++ b/copperyard/dispatching.py
@@ -1,5 +1,6 @@
 """Dispatch of requests to backend servers, with retries and hedging."""
 
+from contextlib import ExitStack
 from dataclasses import dataclass, field
 from typing import Final, TypeAlias
 
@@ -98,6 +99,12 @@
         elif isinstance(failure, StreamedResponse):
             failure.close()
 
+    def close_streams(self) -> None:
+        """Close the streamed responses that were kept for the caller."""
+        for kept in (self.outcome, self.failure):
+            if isinstance(kept, StreamedResponse):
+                kept.close()
+
 
 class Dispatcher:
     """Sends requests to backend servers and decides their outcomes.
@@ -130,10 +137,14 @@
         service = state.request.service
         self._board.find_retry_budget(service).count_request(now)
         self._board.find_priority_mix(service).record(state.route.priority, now)
-        with anyio.move_on_after(state.deadline - now):
-            async with anyio.create_task_group() as group:
-                group.start_soon(self._hedge, state, group)
-                await self._run_loop(state, group, None)
+        with ExitStack() as stack:
+            # A cancelled call returns no response that the caller could close.
+            stack.callback(state.close_streams)
+            with anyio.move_on_after(state.deadline - now):
+                async with anyio.create_task_group() as group:
+                    group.start_soon(self._hedge, state, group)
+                    await self._run_loop(state, group, None)
+            stack.pop_all()
         return self._choose_outcome(state)
 
     async def _hedge(self, state: RequestState, group: TaskGroup) -> None:
--- a/tests/test_endless_bytes.py
+++ b/tests/test_endless_bytes.py
@@ -33,7 +33,7 @@
 from copperyard.platform import PLATFORM_DIALECT
 from copperyard.routes import RequestLimits
 from tests.entry_builders import build_board, build_report, build_request_state
-from tests.test_dispatching import DelayedPicker
+from tests.test_dispatching import DelayedPicker, ScriptedPool
 
 pytestmark = [pytest.mark.anyio, pytest.mark.timeout(20)]
 DEADLINE_S = 0.4
@@ -335,3 +335,19 @@
             await anyio.sleep(0.05)
             writer.transport.abort()
             await server.wait_until_closed(0.2)
+
+
+async def test_cancelled_request_closes_its_streamed_error():
+    """Guards against a leaked connection when a caller leaves.
+
+    The streamed error of the first server is kept while another server is
+    tried.
+    """
+    async with running_server('server error') as server, running_pool() as pool:
+        error = await forward(pool, server)
+        scripted = ScriptedPool((0, error), (30, None))
+        board = build_board('s1', 's2', clock=seconds_since_boot)
+        dispatcher = Dispatcher(board, scripted, DelayedPicker(board))
+        with anyio.move_on_after(0.05):
+            await dispatcher.run(build_request_state(seconds_since_boot))
+        await server.wait_until_closed(0.2)
