Close the connection of a load probe whose response is too large

A server that answered a load probe of the proxy with a body over the buffer limit kept one connection per probe. Once they reached the connection limit, no request could be sent to that server any more.

The probe handled complete responses and failures, but not a streamed response. It is now closed, counted and logged as a failed probe.

The new test failed before with a TimeoutError while it waited for the server to see its connection closed.

--- a/copperyard/probe_controller.py
+++ b/copperyard/probe_controller.py
@@ -11,6 +11,7 @@
 from copperyard.authority import AuthorityLevel
 from copperyard.blackboard import ProxyBoard
 from copperyard.clock import seconds_since_boot
+from copperyard.exchanges import StreamedResponse
 from copperyard.grants import ServerGrant
 from copperyard.limits import LoadReport
 from copperyard.logs import log_event
@@ -69,12 +70,15 @@
                         detail=detail,
                     )
         case AttemptFailure(kind=kind):
-            board.metrics.count('probe.failed')
-            log_event(
-                'probe_failed',
-                server_id=server.server_id,
-                reason=str(kind),
-            )
+            _record_failure(board, server.server_id, str(kind))
+        case StreamedResponse():
+            result.close()
+            _record_failure(board, server.server_id, 'body too large')
+
+
+def _record_failure(board: ProxyBoard, server_id: str, reason: str) -> None:
+    board.metrics.count('probe.failed')
+    log_event('probe_failed', server_id=server_id, reason=reason)
 
 
 def parse_load_report(body: bytes) -> Result[LoadReport, str]:
--- a/tests/test_endless_bytes.py
+++ b/tests/test_endless_bytes.py
@@ -9,6 +9,7 @@
 import tracemalloc
 from contextlib import asynccontextmanager
 from functools import partial
+from types import SimpleNamespace
 
 import anyio
 import pytest
@@ -19,6 +20,7 @@
     FailureKind,
     ServerAddress,
 )
+from copperyard.authority import AuthorityLevel
 from copperyard.caller_connections import CallerConnection, ListenerCallbacks
 from copperyard.caller_responses import build_response
 from copperyard.clock import seconds_since_boot
@@ -31,6 +33,7 @@
 )
 from copperyard.outcomes import Answered
 from copperyard.platform import PLATFORM_DIALECT
+from copperyard.probe_controller import send_probes
 from copperyard.routes import RequestLimits
 from tests.entry_builders import build_board, build_report, build_request_state
 from tests.test_dispatching import DelayedPicker, ScriptedPool
@@ -351,3 +354,35 @@
         with anyio.move_on_after(0.05):
             await dispatcher.run(build_request_state(seconds_since_boot))
         await server.wait_until_closed(0.2)
+
+
+async def test_endless_load_report_leaves_no_connection():
+    """Guards against a leaked connection for each load probe.
+
+    Once the connection limit was reached, the server could not be used.
+    """
+    counts = []
+    grant = SimpleNamespace(
+        servers_by_id={'s1': None},
+        services_by_name={'ledger': SimpleNamespace(connections=3)},
+    )
+    async with running_server('chunks') as server, running_pool() as pool:
+        board = SimpleNamespace(
+            pool=pool,
+            grant=grant,
+            level_at=lambda _: AuthorityLevel.FULL,
+            metrics=SimpleNamespace(count=counts.append),
+            probes=SimpleNamespace(
+                take_due=lambda _: ['s1'] if not counts else [],
+                next_due=lambda: 0,
+            ),
+        )
+        grant.servers_by_id['s1'] = SimpleNamespace(
+            server_id='s1', service='ledger', address=server.address
+        )
+        async with anyio.create_task_group() as group:
+            group.start_soon(send_probes, board, group)
+            await anyio.sleep(0.2)
+            group.cancel_scope.cancel()
+        await server.wait_until_closed(0.2)
+        assert counts == ['probe.sent', 'probe.failed']
