Count a health check whose response is too large as failed

A server that answers health checks with a body over the buffer limit stayed available, and nothing was logged or counted. The response was closed without a result.

It now counts as a failed check, like a response that is malformed or late. Checks of other servers are not affected.

--- a/copperyard/load_probing.py
+++ b/copperyard/load_probing.py
@@ -109,16 +109,11 @@
         load = board.find_load(server)
         match result:
             case AttemptFailure(kind=kind):
-                load.back_off(now)
-                board.metrics.count('probe.failed')
-                log_event(
-                    'probe_failed',
-                    server=server.report.server_id,
-                    reason=kind.value,
-                )
+                self._record_failure(server, kind.value)
                 return
             case StreamedResponse():
                 result.close()
+                self._record_failure(server, 'body too large')
                 return
         if read_server_id(result.headers) != server.report.server_id:
             # The address has been reused by another server.
@@ -138,6 +133,12 @@
                 server.report.server_id, load, is_success=False
             )
 
+    def _record_failure(self, server: KnownServer, reason: str) -> None:
+        board = self._board
+        board.find_load(server).back_off(board.clock())
+        board.metrics.count('probe.failed')
+        log_event('probe_failed', server=server.report.server_id, reason=reason)
+
 
 def build_server_address(
     board: EntryBoard, server: KnownServer
--- a/tests/test_endless_bytes.py
+++ b/tests/test_endless_bytes.py
@@ -31,6 +31,7 @@
     build_request,
     permit_always,
 )
+from copperyard.load_probing import PROBE_TIMEOUT_S, LoadProber
 from copperyard.outcomes import Answered
 from copperyard.platform import PLATFORM_DIALECT
 from copperyard.probe_controller import send_probes
@@ -356,6 +357,26 @@
         await server.wait_until_closed(0.2)
 
 
+@each_case
+async def test_endless_health_response_fails_the_check(name):
+    """Guards against a health check that never ends or counts as passed.
+
+    The check of another server goes on.
+    """
+    async with running_server(name) as server, running_pool() as pool:
+        board = build_board('s1', 's2', clock=seconds_since_boot)
+        report = build_report('s1', address=server.address, sequence=2)
+        board.server_table.apply(report, board.clock())
+        async with anyio.create_task_group() as group:
+            prober = LoadProber(board, pool, group)
+            with anyio.fail_after(PROBE_TIMEOUT_S + MARGIN_S):
+                for server_id in ('s1', 's2', 's1'):
+                    known = board.server_table.servers_by_id[server_id]
+                    await prober.start(known).completed.wait()
+        assert not board.loads_by_id['s1'].is_available(board.clock())
+        await server.wait_until_closed(MARGIN_S)
+
+
 async def test_endless_load_report_leaves_no_connection():
     """Guards against a leaked connection for each load probe.
 
