Close idle connections that hold unread bytes

Bytes that a server sends after a complete response, or its close of the connection, were only noticed when the connection was taken for another request. Until the idle timeout of up to 15 s, a server could fill the receive buffer of each idle connection.

The reset callback is called for a recently used connection, as it is when such a connection is taken.

--- a/copperyard/connections.py
+++ b/copperyard/connections.py
@@ -29,6 +29,9 @@
 # than this. A new connection costs 1 ms, less than a duplicated request.
 FRESH_IDLE_MAX_S: Final = 1.0
 IDLE_MAX_S: Final = 15.0
+# Interval between checks of all idle connections for unread bytes. Until the
+# next check, a server can fill the receive buffer of each of them.
+UNREAD_CHECK_INTERVAL_S: Final = 0.5
 READ_BUFFER_BYTES: Final = 64 * 1024
 
 
@@ -94,6 +97,10 @@
         poll.register(self._socket, select.POLLIN)
         return bool(poll.poll(0))
 
+    def fileno(self) -> int:
+        """Return the descriptor of the socket."""
+        return self._socket.fileno()
+
     def close(self) -> None:
         """Close the socket and wake up tasks that wait for it."""
         if self._socket.fileno() >= 0:
@@ -121,6 +128,7 @@
         self.on_reset = on_reset
         self._connections_by_server: dict[str, set[Connection]] = {}
         self._idle_by_server: dict[str, list[Connection]] = {}
+        self._unread_checked_at = -math.inf
 
     def __enter__(self) -> Self:
         """Return the pool."""
@@ -146,7 +154,10 @@
         return server_id in self._idle_by_server
 
     def close_expired_idle(self, now: float) -> None:
-        """Close connections that exceed their idle limit.
+        """Close connections that exceed their idle limit or hold unread bytes.
+
+        Bytes that arrive on an idle connection belong to no request. A server
+        that has closed its side is noticed in the same way.
 
         :param now: ``CLOCK_BOOTTIME`` in seconds.
         """
@@ -154,6 +165,10 @@
             for connection in tuple(self._idle_by_server[server_id]):
                 if now - connection.last_used_at > connection.max_idle_s:
                     self.close(connection)
+        if now - self._unread_checked_at >= UNREAD_CHECK_INTERVAL_S:
+            self._unread_checked_at = now
+            for connection in self._find_unread_idle():
+                self._close_unread(connection, now)
 
     def close_server_idle(
         self,
@@ -196,10 +211,10 @@
             is_same = connection.address == server.address
             if is_same and not connection.is_readable():
                 return connection
-            self.close(connection)
-            is_recent = now - connection.last_used_at < FRESH_IDLE_MAX_S
-            if is_same and is_recent and self.on_reset is not None:
-                self.on_reset(server.server_id)
+            if is_same:
+                self._close_unread(connection, now)
+            else:
+                self.close(connection)
         return None
 
     def add(self, server: ServerAddress) -> Connection | None:
@@ -249,3 +264,18 @@
             idle.remove(connection)
         if not idle:
             self._idle_by_server.pop(server_id, None)
+
+    def _find_unread_idle(self) -> list[Connection]:
+        poll = select.poll()
+        idle_by_descriptor: dict[int, Connection] = {}
+        for idle in self._idle_by_server.values():
+            for connection in idle:
+                idle_by_descriptor[connection.fileno()] = connection
+                poll.register(connection, select.POLLIN)
+        return [idle_by_descriptor[found] for found, _ in poll.poll(0)]
+
+    def _close_unread(self, connection: Connection, now: float) -> None:
+        self.close(connection)
+        is_recent = now - connection.last_used_at < FRESH_IDLE_MAX_S
+        if is_recent and self.on_reset is not None:
+            self.on_reset(connection.server_id)
--- a/tests/test_endless_bytes.py
+++ b/tests/test_endless_bytes.py
@@ -24,6 +24,7 @@
 from copperyard.caller_connections import CallerConnection, ListenerCallbacks
 from copperyard.caller_responses import build_response
 from copperyard.clock import seconds_since_boot
+from copperyard.connections import UNREAD_CHECK_INTERVAL_S
 from copperyard.dialects import COPPERYARD_DIALECT
 from copperyard.dispatching import Dispatcher
 from copperyard.exchanges import BackendPool, StreamedResponse
@@ -292,6 +293,35 @@
         await server.wait_until_closed(MARGIN_S)
 
 
+async def test_idle_connection_with_unread_bytes_is_closed():
+    """Guards against idle connections whose receive buffers fill up.
+
+    A connection that is not taken for another request was only closed once
+    its idle timeout had passed.
+    """
+    late_bytes = anyio.Event()
+    resets = []
+
+    async def serve(reader, writer):
+        await reader.readuntil(b'\r\n\r\n')
+        writer.write(COMPLETE)
+        await late_bytes.wait()
+        writer.write(b'a' * 64)
+
+    async with await asyncio.start_server(serve, '127.0.0.1', 0) as listener:
+        with BackendPool(on_reset=resets.append) as pool:
+            server = EndlessServer(b'', b'a', is_fast=False)
+            server.address = find_address(listener)
+            assert isinstance(await forward(pool, server), Answered)
+            pool.close_expired_idle(pool.clock())
+            assert pool.has_idle('s1')
+            late_bytes.set()
+            await anyio.sleep(0.05)
+            pool.close_expired_idle(pool.clock() + UNREAD_CHECK_INTERVAL_S)
+            assert not pool.count_connections('s1')
+            assert resets == ['s1']
+
+
 async def test_streamed_response_nobody_reads_ends_at_its_deadline():
     """Guards against a connection held by a caller that does not read.
 
