Limit the body of a response from the store or another entry

A body without end from the store or from another entry was collected until the timeout of the call, which could exhaust the memory of the process.

A call now fails, with a log line, and closes its connection once the body exceeds 16 MiB.

--- a/copperyard/http_calls.py
+++ b/copperyard/http_calls.py
@@ -10,11 +10,14 @@
 )
 from copperyard.dialects import Dialect
 from copperyard.exchanges import BackendPool, StreamedResponse
+from copperyard.logs import log_event
 from copperyard.outcomes import Answered, Header
 from copperyard.requests import CallerRequest
 
 # Each task sends its requests one after another, so few connections are used.
 CONNECTIONS_MAX: Final = 8
+# A response of the store or of another entry is a few megabytes at most.
+CALL_BODY_MAX_BYTES: Final = 16 * 1024 * 1024
 
 PLAIN_DIALECT: Final = Dialect(allows_close_delimited=False)
 
@@ -34,7 +37,8 @@
     :param target: path with query.
     :param body: body of a POST request; without one, a GET request is sent.
     :param timeout_s: timeout for request and response together, in seconds.
-    :returns: the response, whatever its status, or how the request failed.
+    :returns: the response, whatever its status, or how the request failed; a
+        body of more than ``CALL_BODY_MAX_BYTES`` is a failure.
     """
     request = build_request(
         'GET' if body is None else 'POST',
@@ -93,6 +97,7 @@
 
 async def _read_whole(response: StreamedResponse) -> Answered | AttemptFailure:
     parts = []
+    size = 0
     with response:
         while True:
             part = await response.read_part()
@@ -100,6 +105,19 @@
                 return part
             if not part:
                 break
+            size += len(part)
+            if size > CALL_BODY_MAX_BYTES:
+                log_event(
+                    'response_too_large',
+                    server=response.server_id,
+                    limit_bytes=CALL_BODY_MAX_BYTES,
+                )
+                return AttemptFailure(
+                    FailureKind.TRUNCATED,
+                    response.server_id,
+                    is_sent=True,
+                    detail=f'body exceeds {CALL_BODY_MAX_BYTES} bytes',
+                )
             parts.append(part)
     return Answered(
         response.status,
--- a/tests/test_endless_bytes.py
+++ b/tests/test_endless_bytes.py
@@ -29,7 +29,9 @@
 from copperyard.dispatching import Dispatcher
 from copperyard.exchanges import BackendPool, StreamedResponse
 from copperyard.http_calls import (
+    CALL_BODY_MAX_BYTES,
     build_request,
+    call_http,
     permit_always,
 )
 from copperyard.load_probing import PROBE_TIMEOUT_S, LoadProber
@@ -437,3 +439,20 @@
             group.cancel_scope.cancel()
         await server.wait_until_closed(0.2)
         assert counts == ['probe.sent', 'probe.failed']
+
+
+@each_speed
+async def test_body_of_a_call_is_limited(is_fast):
+    """Guards against an endless body from the store or from another entry."""
+    async with (
+        running_server('body with length', is_fast=is_fast) as server,
+        running_pool() as pool,
+    ):
+        tracemalloc.start()
+        with anyio.fail_after(1 + MARGIN_S):
+            result = await call_http(pool, server.address, '/', timeout_s=1)
+        buffered_bytes = tracemalloc.get_traced_memory()[1]
+        tracemalloc.stop()
+        assert isinstance(result, AttemptFailure)
+        assert buffered_bytes < 2 * CALL_BODY_MAX_BYTES
+        await server.wait_until_closed(MARGIN_S)
