Reject responses with ambiguous transfer codings

A response with a list of transfer codings around `chunked`, cut off in the middle of a chunk, reached the caller as a complete one where bodies may end with the connection.

Only `chunked` on its own was taken as chunked, so the end of the stream counted as the end of the body. Such lists, in one header or in several, are now malformed. Requests ask for no transfer coding, so no correct response has one beside `chunked`.

The new test failed before with "DID NOT RAISE HttpParserError".

--- a/copperyard/http_codec.py
+++ b/copperyard/http_codec.py
@@ -19,6 +19,7 @@
 
 _CONTENT_LENGTH: Final = b'content-length'
 _TRANSFER_ENCODING: Final = b'transfer-encoding'
+_CHUNKED: Final = b'chunked'
 _HOST: Final = b'host'
 _FINAL_STATUS_MIN: Final = 200
 _BODYLESS_STATUSES: Final = frozenset((204, 304))
@@ -228,6 +229,13 @@
     headers: list[Header],
     has_body: bool,
 ) -> ResponseHead:
+    codings = b','.join(
+        value.lower() for name, value in headers if name == _TRANSFER_ENCODING
+    )
+    is_chunked = codings == _CHUNKED
+    if _CHUNKED in codings and not is_chunked:
+        # The end of the stream would be taken for the end of such a body.
+        raise HttpParserError(f'unexpected transfer codings {codings!r}')
     values_by_name = dict(headers)
     hop_by_hop = _HOP_BY_HOP_HEADERS
     connection_value = values_by_name.get(b'connection')
@@ -237,9 +245,6 @@
             name.strip() for name in connection_options
         )
     is_bodyless = not has_body or status in _BODYLESS_STATUSES
-    is_chunked = (
-        values_by_name.get(_TRANSFER_ENCODING, b'').lower() == b'chunked'
-    )
     length = None
     if _TRANSFER_ENCODING not in values_by_name:
         length = values_by_name.get(_CONTENT_LENGTH)
--- a/tests/test_endless_bytes.py
+++ b/tests/test_endless_bytes.py
@@ -13,6 +13,7 @@
 
 import anyio
 import pytest
+from httptools import HttpParserError
 
 from copperyard.attempt_types import (
     Attempt,
@@ -34,6 +35,7 @@
     call_http,
     permit_always,
 )
+from copperyard.http_codec import ResponseParser
 from copperyard.load_probing import PROBE_TIMEOUT_S, LoadProber
 from copperyard.outcomes import Answered
 from copperyard.platform import PLATFORM_DIALECT
@@ -456,3 +458,16 @@
         assert isinstance(result, AttemptFailure)
         assert buffered_bytes < 2 * CALL_BODY_MAX_BYTES
         await server.wait_until_closed(MARGIN_S)
+
+
+async def test_unending_chunk_in_another_coding_is_not_complete():
+    """Guards against a truncated response that looks complete.
+
+    Only `chunked` on its own was taken as chunked. The end of the stream was
+    the end of the body with any other list of codings.
+    """
+    two_headers = b'chunked\r\nTransfer-Encoding: identity'
+    for coding in (b'gzip, chunked', b'chunked, gzip', two_headers):
+        parser = ResponseParser(has_body=True, allows_close_delimited=True)
+        with pytest.raises(HttpParserError):
+            parser.feed(CHUNKED.replace(b'chunked', coding) + b'9\r\nab')
