Limit the time and size of a call to the log or the VM list

A log service or VM list that sent bytes without end kept a poll of the agent waiting for good, and a body without end was collected until the memory of the process was used up. The agent then followed neither the log nor the VM list.

The timeouts of httpx apply to each single read, and its read of a whole body has no limit. A call now ends with a read timeout after the sum of its phases, and with a read error at 64 MiB, which is above the largest batch of records. Both are errors that callers of the client handle.

The new test failed before with a TimeoutError for interim responses, for chunks and for a body with a length, and for headers that arrive slowly.

--- a/copperyard/platform_http.py
+++ b/copperyard/platform_http.py
@@ -1,9 +1,16 @@
 """HTTP client for the services of the platform, based on httpx transports."""
 
+from contextlib import AsyncExitStack
 from typing import Any, Final
 
+import anyio
 import httpx
 
+# Waiting for a connection, connecting, writing and reading; each may take the
+# timeout of a call.
+CALL_PHASES: Final = 4
+# The largest response is a batch of 500 log records of up to 64 KB.
+RESPONSE_MAX_BYTES: Final = 64 * 1024 * 1024
 _HEADERS: Final = (('accept', 'application/json'),)
 
 
@@ -41,7 +48,8 @@
 
         :param method: HTTP method.
         :param path: path with query, relative to the base URL.
-        :param timeout_s: timeout in seconds of each phase of the call.
+        :param timeout_s: timeout in seconds of each phase of the call; the
+            whole call takes ``CALL_PHASES`` times as long at most.
         :param json: object sent as the JSON body; no body if ``None``.
         :param etag: entity tag of the known content for a conditional request;
             empty for an unconditional one.
@@ -59,12 +67,29 @@
             json=json,
             extensions={'timeout': timeout},
         )
+        with anyio.move_on_after(CALL_PHASES * timeout_s):
+            return await self._exchange(request)
+        raise httpx.ReadTimeout('response did not end in time', request=request)
+
+    async def _exchange(self, request: httpx.Request) -> httpx.Response:
+        # The timeouts of the transport apply to each single read, so they do
+        # not end a response that goes on forever.
         response = await self._transport.handle_async_request(request)
-        try:
-            await response.aread()
-        finally:
-            await response.aclose()
-        return response
+        parts = []
+        size = 0
+        async with AsyncExitStack() as stack:
+            stack.push_async_callback(response.aclose)
+            async for part in response.aiter_raw():
+                size += len(part)
+                if size > RESPONSE_MAX_BYTES:
+                    raise httpx.ReadError('response too large', request=request)
+                parts.append(part)
+        return httpx.Response(
+            response.status_code,
+            headers=response.headers,
+            content=b''.join(parts),
+            request=request,
+        )
 
     async def close(self) -> None:
         """Close the transport and its connections."""
--- a/tests/test_endless_bytes.py
+++ b/tests/test_endless_bytes.py
@@ -12,6 +12,7 @@
 from types import SimpleNamespace
 
 import anyio
+import httpx
 import pytest
 from httptools import HttpParserError
 
@@ -39,6 +40,7 @@
 from copperyard.load_probing import PROBE_TIMEOUT_S, LoadProber
 from copperyard.outcomes import Answered
 from copperyard.platform import PLATFORM_DIALECT
+from copperyard.platform_http import CALL_PHASES, PlatformHttpClient
 from copperyard.probe_controller import send_probes
 from copperyard.routes import RequestLimits
 from tests.entry_builders import build_board, build_report, build_request_state
@@ -471,3 +473,29 @@
         parser = ResponseParser(has_body=True, allows_close_delimited=True)
         with pytest.raises(HttpParserError):
             parser.feed(CHUNKED.replace(b'chunked', coding) + b'9\r\nab')
+
+
+@pytest.mark.parametrize(
+    'name', ['headers', 'interim responses', 'chunks', 'body with length']
+)
+@each_speed
+async def test_endless_body_of_the_log_service_fails(
+    name, is_fast, monkeypatch
+):
+    """Guards against a poll of the log or VM list that never returns.
+
+    The timeouts of the HTTP library apply to each single read.
+    """
+    limit = 1024 * 1024
+    monkeypatch.setattr('copperyard.platform_http.RESPONSE_MAX_BYTES', limit)
+    async with running_server(name, is_fast=is_fast) as server:
+        client = PlatformHttpClient(f'http://{server.address}')
+        tracemalloc.start()
+        with anyio.fail_after(0.1 * CALL_PHASES + MARGIN_S):
+            with pytest.raises(httpx.HTTPError):
+                await client.call('GET', '/', 0.1)
+        buffered_bytes = tracemalloc.get_traced_memory()[1]
+        tracemalloc.stop()
+        assert buffered_bytes < 4 * limit
+        await server.wait_until_closed(MARGIN_S)
+        await client.close()
