Stay responsive while a call reads many small chunks

A log service that sent a body in chunks of one byte delayed all other work of the agent, and the end of the call itself. The transport parses thousands of chunks from one read without yielding to the event loop.

The read of a body now yields after each part. Usual bodies have few.

The test of endless chunks failed before in two of three runs of a part of the file, with a TimeoutError 0.4 s after the time limit of the call.

--- a/copperyard/platform_http.py
+++ b/copperyard/platform_http.py
@@ -5,6 +5,7 @@
 
 import anyio
 import httpx
+from anyio.lowlevel import checkpoint
 
 # Waiting for a connection, connecting, writing and reading; each may take the
 # timeout of a call.
@@ -84,6 +85,9 @@
                 if size > RESPONSE_MAX_BYTES:
                     raise httpx.ReadError('response too large', request=request)
                 parts.append(part)
+                # The transport does not yield while it parses what it has
+                # received, which may be thousands of small chunks.
+                await checkpoint()
         return httpx.Response(
             response.status_code,
             headers=response.headers,
