End the transfer of a streamed response at its deadline in a proxy

A caller of the own interface that stopped reading a large response kept its request in flight, so a leaving proxy waited for it until its drain timed out.

Only reads of the response had a deadline. The whole transfer now has, and what is broken off is logged; the server then closes the caller's connection without an end of the body.

The new test failed before with a TimeoutError.

--- a/copperyard/caller_api.py
+++ b/copperyard/caller_api.py
@@ -8,10 +8,12 @@
 from typing import Any, Final
 from urllib.parse import parse_qs
 
+import anyio
 from returns.result import Failure
 
-from copperyard.attempt_types import AttemptFailure
+from copperyard.attempt_types import AttemptFailure, FailureKind
 from copperyard.blackboard import ProxyBoard
+from copperyard.clock import seconds_since_boot
 from copperyard.exchanges import StreamedResponse
 from copperyard.forwarding import FinalOutcome, Forwarder
 from copperyard.logs import log_event
@@ -123,7 +125,7 @@
                 )
             case StreamedResponse():
                 with outcome:
-                    await _stream_response(send, outcome, request)
+                    await stream_response(send, outcome, request)
             case NotRun() | Unknown():
                 await self._send_error(
                     send,
@@ -208,16 +210,32 @@
     await send({'type': 'http.response.body', 'body': body})
 
 
-async def _stream_response(
+async def stream_response(
     send: Send,
     response: StreamedResponse,
     request: CallerRequest,
 ) -> None:
-    """Forward a streamed response in parts.
+    """Forward a streamed response in parts until its deadline.
 
-    If it is truncated, the caller's connection is closed without an end of
-    the body.
+    If it is truncated, or not completely sent at the deadline, the caller's
+    connection is closed without an end of the body.
+
+    :param send: ASGI send function; waits for a caller that reads slowly.
+    :param response: response of a backend server.
+    :param request: the caller's request, for the log.
     """
+    remaining_s = response.deadline - seconds_since_boot()
+    with anyio.move_on_after(remaining_s):
+        await _stream_parts(send, response, request)
+        return
+    _log_broken_off(request, response.server_id, FailureKind.EXPIRED)
+
+
+async def _stream_parts(
+    send: Send,
+    response: StreamedResponse,
+    request: CallerRequest,
+) -> None:
     headers = [*response.headers, ANSWERED_HEADER]
     await send(
         {
@@ -229,13 +247,7 @@
     while True:
         part = await response.read_part()
         if isinstance(part, AttemptFailure):
-            log_event(
-                'answer_broken_off',
-                request_id=request.request_id,
-                service=request.service,
-                server_id=part.server_id,
-                reason=str(part.kind),
-            )
+            _log_broken_off(request, part.server_id, part.kind)
             # Without the last body message, the ASGI server closes the
             # connection, which tells the caller that the response is
             # truncated.
@@ -246,3 +258,15 @@
         )
         if not has_more:
             return
+
+
+def _log_broken_off(
+    request: CallerRequest, server_id: str, kind: FailureKind
+) -> None:
+    log_event(
+        'answer_broken_off',
+        request_id=request.request_id,
+        service=request.service,
+        server_id=server_id,
+        reason=str(kind),
+    )
--- a/tests/test_endless_bytes.py
+++ b/tests/test_endless_bytes.py
@@ -23,6 +23,7 @@
     ServerAddress,
 )
 from copperyard.authority import AuthorityLevel
+from copperyard.caller_api import stream_response
 from copperyard.caller_connections import CallerConnection, ListenerCallbacks
 from copperyard.caller_responses import build_response
 from copperyard.clock import seconds_since_boot
@@ -507,3 +508,23 @@
             await client.call('GET', '/', 0.1)
         await server.wait_until_closed(MARGIN_S)
         await client.close()
+
+
+async def test_application_does_not_wait_for_a_caller_that_stops_reading():
+    """Guards against a drain that waits for a caller of the own interface.
+
+    Its request counted as in flight for as long as the caller did not read.
+    """
+    async with running_server('chunks') as server, running_pool() as pool:
+        response = await forward(pool, server)
+        request = build_request('GET', b'/', (), request_id='q1')
+        sent = []
+
+        async def send(message):
+            sent.append(message)
+            if len(sent) > 1:
+                await anyio.sleep_forever()
+
+        with anyio.fail_after(DEADLINE_S + MARGIN_S):
+            await stream_response(send, response, request)
+        assert all(message.get('more_body', True) for message in sent)
