Skip late responses with bodies of up to 1 MiB

A request whose response came behind a late response to an earlier request failed if that one was longer than 16 KB, because its body was counted as a part of the head.

Bodies of skipped responses have a limit of their own now. They are not stored; heads and the framing of chunks still count against 16 KB, so late responses without end remain limited.

The new test failed before with "head or trailer too long".

--- a/copperyard/http_codec.py
+++ b/copperyard/http_codec.py
@@ -16,6 +16,8 @@
 # httptools does not limit the size of a head or trailer; without a limit, one
 # that never ends would exhaust memory.
 HEAD_LIMIT_BYTES: Final = 16 * 1024
+# Bodies of responses to earlier requests are read and dropped up to this size.
+SKIPPED_LIMIT_BYTES: Final = 1024 * 1024
 
 _CONTENT_LENGTH: Final = b'content-length'
 _TRANSFER_ENCODING: Final = b'transfer-encoding'
@@ -95,6 +97,7 @@
         self._headers: list[Header] = []
         self._parts: list[bytes] = []
         self._non_body_bytes = 0
+        self._skipped_bytes = 0
         self._parser = HttpResponseParser(self)
 
     @property
@@ -125,6 +128,8 @@
             self._non_body_bytes = 0
         if self._non_body_bytes > HEAD_LIMIT_BYTES and not self.is_complete:
             raise HttpParserError('head or trailer too long')
+        if self._skipped_bytes > SKIPPED_LIMIT_BYTES:
+            raise HttpParserError('response to an earlier request too long')
 
     def take_part(self) -> bytes:
         """Return the body bytes received since the last call.
@@ -159,7 +164,10 @@
         """Store a part of the body."""
         if self.is_complete:
             self._has_extra_bytes = True
-        elif not self._is_skipping_response:
+        elif self._is_skipping_response:
+            self._non_body_bytes -= len(part)
+            self._skipped_bytes += len(part)
+        else:
             self._parts.append(part)
 
     def on_message_complete(self) -> None:
--- a/tests/test_endless_bytes.py
+++ b/tests/test_endless_bytes.py
@@ -528,3 +528,16 @@
         with anyio.fail_after(DEADLINE_S + MARGIN_S):
             await stream_response(send, response, request)
         assert all(message.get('more_body', True) for message in sent)
+
+
+async def test_long_late_response_is_skipped():
+    """Guards against losing a response because a long late one precedes it."""
+    late = LATE + b'Content-Length: 100000\r\n\r\n' + b'a' * 100_000
+    parser = ResponseParser(
+        has_body=True, correlation_header=(b'x-request-id', b'q1')
+    )
+    sent = late + COMPLETE
+    for start in range(0, len(sent), 9000):
+        parser.feed(sent[start : start + 9000])
+    assert parser.is_complete
+    assert parser.take_part() == b'abc'
