--- a/copperyard/dispatching.py
+++ b/copperyard/dispatching.py
@@ -103,15 +103,24 @@
             failure.close()
 
     def build_fault_outcome(self) -> DispatchOutcome:
-        """Return the outcome for the caller after an unexpected exception."""
-        if isinstance(self.failure, StreamedResponse):
-            self.failure.close()
-        if self.outcome is not None:
+        """Return the outcome for the caller after an unexpected exception.
+
+        A streamed response has been closed by then.
+        """
+        if self.outcome is not None and not isinstance(
+            self.outcome, StreamedResponse
+        ):
             return self.outcome
         if self.possible_runs:
             return Unknown(UnknownReason.INTERNAL_ERROR)
         return NotRun(RefusalReason.INTERNAL_ERROR)
 
+    def close_streams(self) -> None:
+        """Close the streamed responses that were kept for the caller."""
+        for kept in (self.outcome, self.failure):
+            if isinstance(kept, StreamedResponse):
+                kept.close()
+
 
 class Dispatcher:
     """Sends requests to backend servers and decides their outcomes.
@@ -144,10 +153,14 @@
         service = state.request.service
         self._board.find_retry_budget(service).count_request(now)
         self._board.find_priority_mix(service).record(state.route.priority, now)
-        with anyio.move_on_after(state.deadline - now):
-            async with anyio.create_task_group() as group:
-                group.start_soon(self._hedge, state, group)
-                await self._run_loop(state, group, None)
+        with ExitStack() as stack:
+            # A cancelled call returns no response that the caller could close.
+            stack.callback(state.close_streams)
+            with anyio.move_on_after(state.deadline - now):
+                async with anyio.create_task_group() as group:
+                    group.start_soon(self._hedge, state, group)
+                    await self._run_loop(state, group, None)
+            stack.pop_all()
         return self._choose_outcome(state)
 
     async def _hedge(self, state: RequestState, group: TaskGroup) -> None:
--- a/copperyard/http_codec.py
+++ b/copperyard/http_codec.py
@@ -16,9 +16,12 @@
 # httptools does not limit the size of a head or trailer; without a limit, one
 # that never ends would exhaust memory.
 HEAD_LIMIT_BYTES: Final = 16 * 1024
+# Bodies of responses to earlier requests are read and dropped up to this size.
+SKIPPED_LIMIT_BYTES: Final = 1024 * 1024
 
 _CONTENT_LENGTH: Final = b'content-length'
 _TRANSFER_ENCODING: Final = b'transfer-encoding'
+_CHUNKED: Final = b'chunked'
 _HOST: Final = b'host'
 _FINAL_STATUS_MIN: Final = 200
 _BODYLESS_STATUSES: Final = frozenset((204, 304))
@@ -94,6 +97,7 @@
         self._headers: list[Header] = []
         self._parts: list[bytes] = []
         self._non_body_bytes = 0
+        self._skipped_bytes = 0
         self._parser = HttpResponseParser(self)
 
     @property
@@ -124,6 +128,8 @@
             self._non_body_bytes = 0
         if self._non_body_bytes > HEAD_LIMIT_BYTES and not self.is_complete:
             raise HttpParserError('head or trailer too long')
+        if self._skipped_bytes > SKIPPED_LIMIT_BYTES:
+            raise HttpParserError('response to an earlier request too long')
 
     def take_part(self) -> bytes:
         """Return the body bytes received since the last call.
@@ -158,7 +164,10 @@
         """Store a part of the body."""
         if self.is_complete:
             self._has_extra_bytes = True
-        elif not self._is_skipping_response:
+        elif self._is_skipping_response:
+            self._non_body_bytes -= len(part)
+            self._skipped_bytes += len(part)
+        else:
             self._parts.append(part)
 
     def on_message_complete(self) -> None:
@@ -228,6 +237,13 @@
     headers: list[Header],
     has_body: bool,
 ) -> ResponseHead:
+    codings = b','.join(
+        value.lower() for name, value in headers if name == _TRANSFER_ENCODING
+    )
+    is_chunked = codings == _CHUNKED
+    if _CHUNKED in codings and not is_chunked:
+        # The end of the stream would be taken for the end of such a body.
+        raise HttpParserError(f'unexpected transfer codings {codings!r}')
     values_by_name = dict(headers)
     hop_by_hop = _HOP_BY_HOP_HEADERS
     connection_value = values_by_name.get(b'connection')
@@ -237,9 +253,6 @@
             name.strip() for name in connection_options
         )
     is_bodyless = not has_body or status in _BODYLESS_STATUSES
-    is_chunked = (
-        values_by_name.get(_TRANSFER_ENCODING, b'').lower() == b'chunked'
-    )
     length = None
     if _TRANSFER_ENCODING not in values_by_name:
         length = values_by_name.get(_CONTENT_LENGTH)
--- a/copperyard/probe_controller.py
+++ b/copperyard/probe_controller.py
@@ -16,7 +16,7 @@
 from copperyard.authority import AuthorityLevel
 from copperyard.blackboard import ProxyBoard
 from copperyard.clock import seconds_since_boot
-from copperyard.exchanges import ForwardResult
+from copperyard.exchanges import ForwardResult, StreamedResponse
 from copperyard.fault_barriers import FaultBarrier
 from copperyard.limits import COUNT_MAX, LoadReport
 from copperyard.logs import log_event
@@ -113,16 +113,19 @@
                         detail=detail,
                     )
         case AttemptFailure(kind=kind):
-            board.metrics.count('probe.failed')
             if kind in _CONNECTION_FAILURES:
                 board.router.handle_connection_failure(
                     server_id, seconds_since_boot()
                 )
-            log_event(
-                'probe_failed',
-                server_id=server_id,
-                reason=str(kind),
-            )
+            _record_failure(board, server_id, str(kind))
+        case StreamedResponse():
+            result.close()
+            _record_failure(board, server_id, 'body too large')
+
+
+def _record_failure(board: ProxyBoard, server_id: str, reason: str) -> None:
+    board.metrics.count('probe.failed')
+    log_event('probe_failed', server_id=server_id, reason=reason)
 
 
 def parse_load_report(body: bytes) -> Result[LoadReport, str]:
--- a/tests/test_agent_inputs.py
+++ b/tests/test_agent_inputs.py
@@ -57,10 +57,14 @@
 )
 
 
+async def _stream(content):
+    yield content
+
+
 def respond(content):
     """Build a transport whose response has the given body."""
     return httpx.MockTransport(
-        lambda request: httpx.Response(200, content=content)
+        lambda request: httpx.Response(200, content=_stream(content))
     )
 
 
--- a/tests/test_caller_connections.py
+++ b/tests/test_caller_connections.py
@@ -1,6 +1,7 @@
 """Caller connections: limits, pipelining, response order and cancellation."""
 
 import asyncio
+import math
 from contextlib import asynccontextmanager
 from functools import partial
 
@@ -304,6 +305,8 @@
 class PausedBody:
     """Streamed body that ends when the test allows it."""
 
+    deadline = math.inf
+
     def __init__(self):
         self.may_end = asyncio.Event()
 
