Keep trailers of a late response out of the next response

A chunked response to an earlier request that arrives late is skipped, but its trailer fields were collected like headers and forwarded with the response that followed: a caller could get fields of another caller's response.

Fields of a skipped response are now ignored up to its end.

--- a/copperyard/http_codec.py
+++ b/copperyard/http_codec.py
@@ -146,7 +146,7 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Store a header; trailer fields are ignored."""
-        if self.head is None:
+        if self.head is None and not self._is_skipping_response:
             self._headers.append(
                 (name.lower(), value.strip(_OPTIONAL_WHITESPACE))
             )
--- a/tests/test_http_codec.py
+++ b/tests/test_http_codec.py
@@ -165,6 +165,18 @@
         assert parser.take_part() == b'ours'
 
 
+def test_trailer_of_a_late_response_is_dropped():
+    """Guards against a response with fields of an earlier one."""
+    parser = ResponseParser(
+        has_body=True, correlation_header=(b'x-request-id', b'q2')
+    )
+    late = b'Transfer-Encoding: chunked\r\nX-Request-Id: q1\r\n\r\n'
+    own = b'Content-Length: 0\r\nX-Request-Id: q2\r\n\r\n'
+    parser.feed(HEAD + late + b'0\r\nB: c\r\n\r\n' + HEAD + own)
+    assert parser.is_complete
+    assert (b'b', b'c') not in parser.head.headers
+
+
 def test_connection_end_after_only_late_responses_is_an_error():
     """Guards against treating a late response as the awaited one.
 
