Accept absolute-form targets, and bound what one read starts

A caller that sent an absolute-form target got 400, though HTTP/1.1 requires servers to accept it; its host now replaces the Host header. A caller that sent Expect: 100-continue behind pipelined requests never got the 100 response and waited for its own timeout; it is now sent after the responses before it. One read of 64 KiB started all requests in it, some hundreds, though at most 16 of a connection may run; the others now wait for responses.

The new tests failed before: 400 responses, a timeout, and 48 requests at once.

--- a/copperyard/caller_connections.py
+++ b/copperyard/caller_connections.py
@@ -6,6 +6,7 @@
 at which a connection closes, and pipelined requests that are still waiting.
 """
 
+import re
 from collections import deque
 from collections.abc import Awaitable, Callable
 from contextlib import ExitStack
@@ -45,6 +46,10 @@
 LOGGED_TARGET_BYTES_MAX: Final = 256
 
 _CONNECT: Final = b'CONNECT'
+_HOST: Final = b'host'
+_ABSOLUTE_FORM_PATTERN: Final = re.compile(
+    rb'https?://(?P<host>[^/?@]+)(?=[/?]|$)', re.IGNORECASE
+)
 _CONTINUE_RESPONSE: Final = b'HTTP/1.1 100 Continue\r\n\r\n'
 _DISCONNECT_ERRORS: Final = (
     anyio.EndOfStream,
@@ -167,11 +172,11 @@
     def on_headers_complete(self) -> None:
         self.is_in_head = False
         self.is_in_body = True
+        target = self._read_target()
         names = [name for name, _ in self._headers]
-        target = b''.join(self._target)
         method = self._parser.get_method()
         if (
-            names.count(b'host') != 1
+            names.count(_HOST) != 1
             or not self._is_supported(method, target)
             or not self._has_known_coding()
         ):
@@ -205,6 +210,23 @@
             self.complete_requests.append(self._request)
         self._request = None
 
+    def _read_target(self) -> bytes:
+        """Return the target in origin form.
+
+        A target in absolute form replaces the ``Host`` header (RFC 9112,
+        3.2.2).
+        """
+        target = b''.join(self._target)
+        match = _ABSOLUTE_FORM_PATTERN.match(target)
+        if match is None:
+            return target
+        self._headers = [
+            (name, match['host'] if name == _HOST else value)
+            for name, value in self._headers
+        ]
+        path = target[match.end() :]
+        return path if path.startswith(b'/') else b'/%b' % path
+
     def _is_supported(self, method: bytes, target: bytes) -> bool:
         return (
             target.startswith(b'/')
@@ -320,16 +342,11 @@
             if content is None:
                 group.cancel_scope.cancel()
                 return
-            self._process_bytes(content, group)
-            if self._reader.wants_continue and not self._pending_responses:
-                self._reader.wants_continue = False
-                await self._send(_CONTINUE_RESPONSE)
-            while len(self._pending_responses) >= PIPELINED_REQUESTS_MAX:
-                self._response_sent = anyio.Event()
-                await self._response_sent.wait()
+            await self._process_bytes(content, group)
+            await self._send_continue()
         await self._wait_for_disconnect(group)
 
-    def _process_bytes(
+    async def _process_bytes(
         self, content: bytes, group: anyio.abc.TaskGroup
     ) -> None:
         reader = self._reader
@@ -337,11 +354,17 @@
             reader.feed(content)
         else:
             reader.fault = RefusalReason.TOO_SLOW
-        self._start_requests(group)
+        await self._start_requests(group)
         if reader.fault is not None and self._is_reading:
             self._refuse(reader.fault)
             self._is_reading = False
 
+    async def _send_continue(self) -> None:
+        # The responses to earlier requests come first.
+        if self._reader.wants_continue and not self._pending_responses:
+            self._reader.wants_continue = False
+            await self._send(_CONTINUE_RESPONSE)
+
     async def _receive_bytes(self) -> bytes | None:
         """Receive bytes.
 
@@ -382,8 +405,12 @@
         except _DISCONNECT_ERRORS:
             group.cancel_scope.cancel()
 
-    def _start_requests(self, group: anyio.abc.TaskGroup) -> None:
+    async def _start_requests(self, group: anyio.abc.TaskGroup) -> None:
         while self._reader.complete_requests and self._is_reading:
+            if len(self._pending_responses) >= PIPELINED_REQUESTS_MAX:
+                self._response_sent = anyio.Event()
+                await self._response_sent.wait()
+                continue
             request = self._reader.complete_requests.popleft()
             pending = _PendingResponse(
                 request.method == 'HEAD', request.is_keep_alive
@@ -434,6 +461,7 @@
             self._pending_responses.popleft()
             self._last_active_at = self._callbacks.clock()
             self._response_sent.set()
+            await self._send_continue()
 
     async def _send_response(self, pending: _PendingResponse) -> bool:
         """Send a response and return whether the connection stays open."""
--- a/tests/test_caller_connections.py
+++ b/tests/test_caller_connections.py
@@ -8,7 +8,11 @@
 import anyio
 import pytest
 
-from copperyard.caller_connections import CallerConnection, ListenerCallbacks
+from copperyard.caller_connections import (
+    PIPELINED_REQUESTS_MAX,
+    CallerConnection,
+    ListenerCallbacks,
+)
 from copperyard.caller_responses import CallerResponse
 from copperyard.clock import seconds_since_boot
 from copperyard.metrics import Metrics
@@ -38,6 +42,11 @@
         self.port = 0
         self.handle_request = self.handle
 
+    async def record(self, request):
+        """Record the request and respond at once."""
+        self.requests.append(request)
+        return CallerResponse(200)
+
     async def handle(self, request):
         """Wait for the milliseconds in the path, then respond with the path."""
         self.requests.append(request)
@@ -418,3 +427,61 @@
         )
         assert response.startswith(b'HTTP/1.1 400')
         assert not server.requests
+
+
+async def test_many_requests_in_one_read_do_not_all_run_at_once():
+    """Guards against a caller that starts as many requests as fit in a read."""
+    async with running_server() as server:
+        _, writer = await asyncio.open_connection('127.0.0.1', server.port)
+        writer.write(GET % b'200' * (3 * PIPELINED_REQUESTS_MAX))
+        await asyncio.sleep(0.1)
+        assert len(server.requests) == PIPELINED_REQUESTS_MAX
+        await asyncio.sleep(0.7)
+        writer.close()
+        assert len(server.requests) == 3 * PIPELINED_REQUESTS_MAX
+
+
+async def test_100_continue_follows_the_responses_before_it():
+    """Guards against a caller that waits for 100 behind pipelined requests."""
+    async with running_server() as server:
+        reader, writer = await asyncio.open_connection('127.0.0.1', server.port)
+        writer.write(
+            GET % b'100'
+            + b'POST /0 HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n'
+            + b'Expect: 100-continue\r\n\r\n'
+        )
+        with anyio.fail_after(2):
+            assert b' 200 ' in await reader.readuntil(b'\r\n\r\n')
+            assert b' 100 ' in await reader.readuntil(b'\r\n\r\n')
+            writer.write(b'ab')
+            assert b' 200 ' in await reader.readuntil(b'\r\n\r\n')
+        writer.close()
+
+
+@pytest.mark.parametrize(
+    ('target', 'forwarded'),
+    [
+        (b'http://a.example:80/0/x?y', b'/0/x?y'),
+        (b'HTTP://a.example:80/0', b'/0'),
+        (b'http://a.example:80', b'/'),
+        (b'http://a.example:80?y', b'/?y'),
+    ],
+)
+async def test_absolute_form_names_the_host(target, forwarded):
+    """Guards against refusing a target that HTTP/1.1 requires to accept."""
+    async with running_server() as server:
+        server.handle_request = server.record
+        request = b'GET %b HTTP/1.1\r\nHost: h\r\n\r\n' % target
+        assert b' 200 ' in await exchange(server, request)
+        assert server.requests[0].target == forwarded
+        assert (b'host', b'a.example:80') in server.requests[0].headers
+        assert (b'host', b'h') not in server.requests[0].headers
+
+
+@pytest.mark.parametrize('target', [b'http://', b'http:///0', b'http://u@h/0'])
+async def test_absolute_form_without_a_valid_host_is_refused(target):
+    """Guards against routing by a host that the target does not name."""
+    async with running_server() as server:
+        request = b'GET %b HTTP/1.1\r\nHost: h\r\n\r\n' % target
+        assert b' 400 ' in await exchange(server, request)
+        assert not server.requests
