Keep a lost home in grants until its claims have expired

A non-idempotent request without a home header could run twice: once through an evicted member that had lost its peers but not its callers, and again through the next home as soon as the VM of that member had disappeared.

Cause: the age of a lost home stayed 0 while the member was not known to have stopped, and was then counted from the time at which its departure had been read.

HandoverTable now records when a call first found the departed member to have stopped, and counts the age from then. The member stopped before that, so the retention covers every claim that it granted. A member that turns out not to have stopped, or departs again, starts from 0.

--- a/copperyard/derived_state.py
+++ b/copperyard/derived_state.py
@@ -138,7 +138,9 @@
             vm_table=board.vm_table,
             shares_by_server=board.handover.compute_shares(handover, now),
             entries=_build_entries(board, now),
-            lost_home_ages_by_key=_build_lost_home_ages(board, stopped, now),
+            lost_home_ages_by_key=board.handover.find_lost_home_ages(
+                stopped, now
+            ),
             handed_over_keys=board.handover.list_claims_handed_over(
                 now, DEPARTURE_RETENTION_S
             ),
@@ -170,22 +172,6 @@
     return grant == aligned
 
 
-def _build_lost_home_ages(
-    board: AgentBoard,
-    stopped: frozenset[str],
-    now: float,
-) -> dict[str, float]:
-    """Return seconds since members departed without handing over claims.
-
-    A member that is not known to have stopped may still grant claims, so the
-    age of its departure stays 0.
-    """
-    return {
-        key: age if key in stopped else 0.0
-        for key, age in board.handover.find_lost_home_ages(now).items()
-    }
-
-
 def _build_freshness_age(board: AgentBoard, now: float) -> float | None:
     offsets = find_applied_ends(board)
     relayed = board.heartbeats.find_relayed_read_at(
--- a/copperyard/grants.py
+++ b/copperyard/grants.py
@@ -80,8 +80,8 @@
         any other.
     :param services_by_name: all declared services.
     :param entries: all members of the view, this one included.
-    :param lost_home_ages_by_key: seconds since members departed without
-        handing over their claims.
+    :param lost_home_ages_by_key: members that departed without handing over
+        their claims, with the seconds since they became known to have stopped.
     :param handed_over_keys: members that departed after handing over their
         claims.
     :param leaving: whether the proxy must accept no new requests.
@@ -118,8 +118,8 @@
 
     :param view_end: offset of the view that ``shares_by_server`` is based on.
     :param shares_by_server: result of ``HandoverTable.compute_shares``.
-    :param lost_home_ages_by_key: seconds since members departed without
-        handing over their claims.
+    :param lost_home_ages_by_key: members that departed without handing over
+        their claims, with the seconds since they became known to have stopped.
     :param handed_over_keys: members that departed after handing over their
         claims.
     """
--- a/copperyard/ownership.py
+++ b/copperyard/ownership.py
@@ -385,6 +385,7 @@
         self._history = ViewHistory()
         self._departures_by_key: dict[str, Departure] = {}
         self._departure_read_at_by_key: dict[str, float] = {}
+        self._stopped_since_by_key: dict[str, float] = {}
         self._usable_from = float('-inf')
         self._next_cleanup_at = float('-inf')
 
@@ -413,6 +414,11 @@
             else now
             for key, departure in self._departures_by_key.items()
         }
+        self._stopped_since_by_key = {
+            key: stopped_since
+            for key, stopped_since in self._stopped_since_by_key.items()
+            if previous.get(key) == self._departures_by_key.get(key)
+        }
 
     def set_servers(self, domains_by_server: Mapping[str, str]) -> None:
         """Replace the set of servers.
@@ -463,17 +469,34 @@
             and now < self._departure_read_at_by_key[key] + retention_s
         )
 
-    def find_lost_home_ages(self, now: float) -> dict[str, float]:
+    def find_lost_home_ages(
+        self,
+        stopped_keys: frozenset[str],
+        now: float,
+    ) -> dict[str, float]:
         """Return members that departed without handing over their claims.
 
+        An evicted member may grant claims until it has stopped, possibly long
+        after its eviction, and each claim lives for its whole lifetime.
+
+        :param stopped_keys: members that are known to have stopped.
         :param now: ``CLOCK_BOOTTIME`` of this VM in seconds.
-        :returns: seconds since the departure was read, by member key.
+        :returns: seconds since a call first found the departed member among
+            ``stopped_keys``, by member key; 0 if it is not among them.
         """
-        return {
-            key: now - self._departure_read_at_by_key[key]
+        lost_keys = {
+            key
             for key, departure in self._departures_by_key.items()
             if not departure.claims_handed
         }
+        self._stopped_since_by_key = {
+            key: self._stopped_since_by_key.get(key, now)
+            for key in lost_keys & stopped_keys
+        }
+        return {
+            key: now - self._stopped_since_by_key.get(key, now)
+            for key in lost_keys
+        }
 
     def _compute_share(
         self,
--- a/tests/test_grants.py
+++ b/tests/test_grants.py
@@ -5,8 +5,11 @@
 import pytest
 
 from copperyard.authority import Authority, AuthorityLevel
+from copperyard.clock import seconds_since_boot
 from copperyard.configuration import Configuration
+from copperyard.derived_state import assemble_grant
 from copperyard.grants import (
+    DEPARTURE_RETENTION_S,
     Entry,
     Grant,
     GrantFacts,
@@ -17,9 +20,20 @@
     encode_grant,
     sum_capacities,
 )
+from copperyard.membership import (
+    SUSPECT_AFTER_S,
+    PeerStatus,
+)
 from copperyard.ownership import ServerShare
+from copperyard.records import MemberEvicted, MemberJoined
 from copperyard.vm_list import Vm, VmState, VmTable
-from tests.builders import make_member, make_service, make_vm
+from tests.builders import (
+    apply_records,
+    make_agent_board,
+    make_member,
+    make_service,
+    make_vm,
+)
 
 _FULL = Authority(AuthorityLevel.FULL, 10.0)
 _CONFIGURATION = Configuration(
@@ -163,3 +177,33 @@
     assert not tracker.has_expired(10.9)
     assert tracker.has_expired(11.0)
     assert tracker.acknowledge(current, 11.0) == current
+
+
+def test_lost_home_is_granted_until_its_claims_have_expired() -> None:
+    """Guards against dropping a lost home as soon as it has stopped.
+
+    An evicted member that was partitioned may have granted claims for as long
+    as it had not stopped.
+    """
+    board, lost = make_agent_board(), make_member(1)
+    apply_records(
+        board,
+        board.member_stream,
+        MemberJoined(member=lost),
+        MemberEvicted(member_key=lost.key, evicted_by=''),
+    )
+    board.heartbeats.receive_request(
+        PeerStatus(member=lost), seconds_since_boot()
+    )
+    stopped_at = seconds_since_boot() + 2 * DEPARTURE_RETENTION_S
+    assert assemble_grant(board, stopped_at - 1).lost_home_ages_by_key
+    listed = VmTable({}, vanished_ids=frozenset((lost.entry_id,)))
+    for at in (stopped_at, stopped_at + SUSPECT_AFTER_S / 2):
+        board.heartbeats.begin_interval(board.history.current, listed, at)
+    silent_at = stopped_at + 2 * SUSPECT_AFTER_S
+    for elapsed in (0.0, DEPARTURE_RETENTION_S - 1):
+        grant = assemble_grant(board, silent_at + elapsed)
+        ages = grant.lost_home_ages_by_key
+        assert ages == {lost.key: pytest.approx(elapsed)}
+    grant = assemble_grant(board, silent_at + DEPARTURE_RETENTION_S)
+    assert not grant.lost_home_ages_by_key
