Keep the end of a claim that a previous home reported

A caller that repeated an id every minute or two could have it run a second time about 750 s after a member had become the home of the id.

Cause: the home asks the previous home only within the lifetime of a claim after its own join. Each repeat that the previous home refuses restarts the retention of the claim there, so the claim can outlive that time by up to REQUEST_ID_RETENTION_S. The home passed the refusal on and kept nothing.

The home now keeps the end itself, for the same retention, as it already did after the loss of a home. A running claim needs no copy: it ends before the home stops asking, and the next repeat finds its end.

--- a/copperyard/claims.py
+++ b/copperyard/claims.py
@@ -497,9 +497,13 @@
             case ClaimVerdict.GRANTED:
                 # The previous home has already granted this attempt.
                 self._store(call, ClaimState.RUNNING, now)
-            case ClaimVerdict.HOME_LOST:
-                # The caller may repeat the id after the lost home has dropped
-                # out of `lost_home_keys`; it must be refused then too.
+            case ClaimVerdict.FINISHED:
+                # This attempt has restarted the retention of the claim, which
+                # may now outlast the time for which the previous home is asked.
+                self._store(call, ClaimState.ANSWERED, now)
+            case ClaimVerdict.HOME_LOST | ClaimVerdict.UNKNOWN:
+                # The caller may also repeat the id after the lost home has
+                # dropped out of `lost_home_keys`; it must be refused then too.
                 self._store(call, ClaimState.UNKNOWN, now)
         return _relay_verdict(answer)
 
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -230,6 +230,25 @@
     assert other.claim(call, 1, stale) == ask
 
 
+@pytest.mark.parametrize(
+    'answer', [ClaimVerdict.FINISHED, ClaimVerdict.UNKNOWN]
+)
+def test_ended_claim_of_the_previous_home_is_kept_for_the_retention(answer):
+    """Guards against a second run of an id repeated again and again.
+
+    Each repeat restarts the retention of the claim, also shortly before the
+    home no longer asks the previous one.
+    """
+    table = _make_ranked_table(0, joined_at=0)
+    asks_until = CLAIM_LIFETIME_MAX_S + VIEW_LAG_MAX_S
+    call = _make_call('a', _KEY_WITHOUT_HOME)
+    ask = table.claim(call, asks_until)
+    table.claim(call, asks_until, PreviousAnswer(ask, answer))
+    repeat = _make_call('b', _KEY_WITHOUT_HOME)
+    now = asks_until + REQUEST_ID_RETENTION_S - 1
+    assert table.claim(repeat, now) is answer
+
+
 def test_call_under_another_view_is_not_decided():
     """Guards against a grant while another member has become the home.
 
