Let a retired home refuse no repeats

A caller that repeated an id during a planned stop of its home could have the id run a second time when it repeated it again within the 120 s.

Cause: a home that has handed over its claims still answered for those that had ended, while members with an older view asked it. Such an answer restarts the retention of the claim, but only in the table that is about to be dropped; the copy at the next home expires 120 s after the end of the request.

A home that has handed over its claims, or has missed some while it was closing, now answers BEHIND, as it already did for ids that it does not hold. The claimant asks again under its next view and reaches the next home.

Evidence: the random walks now count the retention from the last refused repeat. The extended test of retired homes failed before with FINISHED instead of BEHIND.

--- a/copperyard/claims.py
+++ b/copperyard/claims.py
@@ -402,7 +402,7 @@
         self._is_closed = True
 
     def retire(self) -> None:
-        """Stop granting or refusing new ids; other members may grant them."""
+        """Stop granting and refusing ids; other members are their homes now."""
         self.close()
         self._has_missed_claims = True
 
@@ -553,12 +553,15 @@
         if is_same and held.state is ClaimState.RUNNING:
             return ClaimVerdict.GRANTED
         if held.state is not ClaimState.RUNNING:
+            if self._may_have_successors:
+                # The retention of a copy there cannot be restarted here.
+                return ClaimVerdict.BEHIND
             # The caller is still repeating the id, so restart its retention.
             self._set_state(call.key, held, held.state, now)
         return _VERDICTS_BY_STATE[held.state]
 
     def _grant(self, call: ClaimCall, now: float) -> ClaimVerdict:
-        if self._is_closed and self._has_missed_claims:
+        if self._may_have_successors:
             return ClaimVerdict.BEHIND
         if self._is_closed or self._is_full():
             return ClaimVerdict.UNAVAILABLE
@@ -570,6 +573,10 @@
             claim = _Claim(call.attempt_id, call.claimant, state, now)
             self._put(call.key, claim)
 
+    @property
+    def _may_have_successors(self) -> bool:
+        return self._is_closed and self._has_missed_claims
+
     def _is_full(self) -> bool:
         released = self._claims_by_state[ClaimState.RELEASED]
         while len(self) >= self._capacity and released:
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -489,6 +489,9 @@
             self.ended_at_by_key.pop(key, None)
         elif isinstance(verdict_to_outcome(verdict), NotRun):
             assert key not in self.granted_by_key, 'not run after a grant'
+        elif verdict is ClaimVerdict.FINISHED and key in self.ended_at_by_key:
+            # The refusal restarts the time in which the caller may repeat it.
+            self.ended_at_by_key[key] = self.cell.now
         return verdict
 
     def _end_overdue_runs(self):
@@ -649,7 +652,14 @@
 
 
 def test_retired_home_does_not_answer_for_ids():
-    """Guards against "not run" from a home whose successor may have run it."""
+    """Guards against "not run" from a home whose successor may have run it.
+
+    A refusal of a repeat would not restart the retention at the successor.
+    """
     table = _make_table()
+    ended_key = make_claim_key('m1#1', 'ended')
+    table.claim(_make_call('a', ended_key), 0)
+    table.finish(ended_key, 'a', ClaimState.ANSWERED, 0)
     table.retire()
     assert table.claim(_make_call('a'), 0) is ClaimVerdict.BEHIND
+    assert table.claim(_make_call('b', ended_key), 0) is ClaimVerdict.BEHIND
