Require lasting contact before trusting that a join is known

A member that reconnected for an instant and was cut off again counted as knowing the home that had joined meanwhile, although it may not have applied the join. An id that it granted afterwards could be granted again by the home.

Cause: one heartbeat, VIEW_LAG_MAX_S or more after the join, was taken for evidence that the member followed the join. The contact has to last for VIEW_LAG_MAX_S for that.

A home now records the first contact of that length with each member that was present or lost when it joined, and counts the lifetime of older claims from it. A shorter contact is dropped when it is interrupted.

The new test failed before: after a contact of 9 s the home granted the id without asking.

--- a/copperyard/claims.py
+++ b/copperyard/claims.py
@@ -104,6 +104,37 @@
     FULL = 2
 
 
+@dataclass(frozen=True, slots=True)
+class Contact:
+    """First contact with another member that lasted ``VIEW_LAG_MAX_S``.
+
+    By its end the other member has applied the join of this one. Until then
+    it may grant ids under a view without this member.
+
+    :param since: when the contact began; infinity without contact.
+    :param until: when the other member was last heard from.
+    """
+
+    since: float = math.inf
+    until: float = -math.inf
+
+    @property
+    def is_complete(self) -> bool:
+        """Whether it has lasted ``VIEW_LAG_MAX_S``."""
+        return self.until - self.since >= VIEW_LAG_MAX_S
+
+    def update(self, now: float, *, is_heard: bool) -> 'Contact':
+        """Return the contact after a further grant.
+
+        :param now: ``CLOCK_BOOTTIME`` in seconds.
+        :param is_heard: whether the agent receives heartbeats of the member.
+        :returns: the contact; a shorter one that was interrupted is dropped.
+        """
+        if self.is_complete:
+            return self
+        return Contact(min(self.since, now), now) if is_heard else Contact()
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class HomeView:
     """The members that can be homes, as this member knows them.
@@ -119,10 +150,8 @@
         claim of the id is needed for the retention after that.
     :param handed_over_keys: members that departed within the last
         ``CLAIM_LIFETIME_MAX_S`` after handing over their claims.
-    :param informed_at_by_key: for each member that was present or lost when
-        this member joined, when it was first heard from
-        ``VIEW_LAG_MAX_S`` or longer after the join; infinity if it has not
-        been. Until then it may grant ids under a view without this member.
+    :param contacts_by_key: contact with each member that was present or lost
+        when this member joined.
     """
 
     member_key: str
@@ -131,7 +160,7 @@
     member_keys: frozenset[str]
     lost_home_keys: frozenset[str] = frozenset()
     handed_over_keys: frozenset[str] = frozenset()
-    informed_at_by_key: Mapping[str, float] = field(default_factory=dict)
+    contacts_by_key: Mapping[str, Contact] = field(default_factory=dict)
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -267,7 +296,7 @@
     :param current: the new view.
     :param heard_keys: members that this member is in contact with.
     :param now: ``CLOCK_BOOTTIME`` in seconds.
-    :returns: ``current`` with ``joined_at`` and ``informed_at_by_key`` carried
+    :returns: ``current`` with ``joined_at`` and ``contacts_by_key`` carried
         over, or initialized if this member was not in the previous view.
     """
     is_same_member = previous.member_key == current.member_key
@@ -276,18 +305,15 @@
         return replace(
             current,
             joined_at=now,
-            informed_at_by_key=dict.fromkeys(present_keys, math.inf),
+            contacts_by_key=dict.fromkeys(present_keys, Contact()),
         )
-    informed_at_by_key = previous.informed_at_by_key
-    if now >= previous.joined_at + VIEW_LAG_MAX_S:
-        informed_at_by_key = {
-            key: min(at, now) if key in heard_keys else at
-            for key, at in informed_at_by_key.items()
-        }
     return replace(
         current,
         joined_at=previous.joined_at,
-        informed_at_by_key=informed_at_by_key,
+        contacts_by_key={
+            key: contact.update(now, is_heard=key in heard_keys)
+            for key, contact in previous.contacts_by_key.items()
+        },
     )
 
 
@@ -530,15 +556,17 @@
         # Lower-ranked members hold claims that were granted before they knew
         # that this member had joined, or offered after it closed.
         view = self.view
-        age_s = now - view.joined_at
-        is_old = age_s > CLAIM_LIFETIME_MAX_S + VIEW_LAG_MAX_S
-        is_any_recently_informed = any(
-            now - view.informed_at_by_key.get(key, -math.inf)
-            <= CLAIM_LIFETIME_MAX_S
+        contacts = [
+            view.contacts_by_key[key]
             for key in lower_ranked
-        )
-        may_hold = not is_old or is_any_recently_informed
-        return bool(lower_ranked) and (may_hold or self._has_missed_claims)
+            if key in view.contacts_by_key
+        ]
+        if not all(contact.is_complete for contact in contacts):
+            return True
+        starts = (contact.since for contact in contacts)
+        joined_at = max((view.joined_at, *starts))
+        is_old = now - joined_at > CLAIM_LIFETIME_MAX_S + VIEW_LAG_MAX_S
+        return bool(lower_ranked) and (not is_old or self._has_missed_claims)
 
     def _check_held(
         self,
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -203,6 +203,33 @@
     assert repeat is ClaimVerdict.UNKNOWN
 
 
+@pytest.mark.parametrize(
+    ('contact_s', 'expected'),
+    [
+        (VIEW_LAG_MAX_S - 1, AskPrevious(_RANKED[1], 1)),
+        (VIEW_LAG_MAX_S, ClaimVerdict.GRANTED),
+    ],
+)
+def test_brief_contact_does_not_show_that_a_member_knows_the_home(
+    contact_s, expected
+):
+    """Guards against a second run of an id granted under an old view.
+
+    A member that is cut off again at once may not have applied the join.
+    """
+    table = _make_ranked_table(0, (0, 1))
+    view, previous = table.view, _make_table(member_key='').view
+    for at, heard_keys in (
+        (0, set()),
+        (400, {_RANKED[1]}),
+        (400 + contact_s, {_RANKED[1]}),
+        (401 + contact_s, set()),
+    ):
+        previous = advance_view(previous, view, heard_keys, at)
+    table.view = previous
+    assert table.claim(_make_call('a', _KEY_WITHOUT_HOME), 2000) == expected
+
+
 @pytest.mark.parametrize(
     ('answer', 'expected'),
     [
