--- a/copperyard/membership.py
+++ b/copperyard/membership.py
@@ -132,10 +132,19 @@
     :param views: views in ascending order of ``changed_end``; there is at
         least one, and the last one is the current view.
     :param departures: departures in ascending order of ``end``.
+    :param earlier_departures: departures before the snapshot that the history
+        started from.
     """
 
     views: tuple[View, ...] = (View(),)
     departures: tuple[Departure, ...] = ()
+    earlier_departures: tuple[Departure, ...] = ()
+
+    @property
+    def all_departures(self) -> tuple[Departure, ...]:
+        """The last departures, equal on all nodes with the same ``end``."""
+        departures = (*self.earlier_departures, *self.departures)
+        return departures[-DEPARTURE_LIMIT:]
 
     @property
     def current(self) -> View:
@@ -176,7 +185,8 @@
         for key, member in before.members_by_key.items()
         if key not in after.members_by_key
     )
-    return ViewHistory(
+    return replace(
+        history,
         views=(*history.views, after)[-VIEW_HISTORY_LIMIT:],
         departures=(*history.departures, *departed)[-DEPARTURE_LIMIT:],
     )
@@ -599,14 +609,14 @@
             },
             **{
                 departure.member.key: departure.member
-                for departure in history.departures
+                for departure in history.all_departures
             },
             **view.members_by_key,
         }
         members_by_key.pop(self.local_key, None)
         left_keys = {
             departure.member.key
-            for departure in history.departures
+            for departure in history.all_departures
             if departure.cause == DepartureCause.LEFT
         }
         return frozenset(
@@ -625,7 +635,9 @@
         :param history: the history of views.
         :param now: ``CLOCK_BOOTTIME`` of the local VM in seconds.
         """
-        known_keys = {departure.member.key for departure in history.departures}
+        known_keys = {
+            departure.member.key for departure in history.all_departures
+        }
         known_keys.update(history.current.members_by_key)
         never_heard_keys = self._expected_since_by_key.keys() - (
             self._peers_by_key.keys()
--- a/copperyard/membership_controller.py
+++ b/copperyard/membership_controller.py
@@ -179,7 +179,7 @@
         or board.is_member
         or any(
             departure.member.key == board.member.key
-            for departure in board.history.departures
+            for departure in board.history.all_departures
         )
     )
 
--- a/copperyard/ownership.py
+++ b/copperyard/ownership.py
@@ -404,7 +404,8 @@
         self._owners.apply(history)
         previous = self._departures_by_key
         self._departures_by_key = {
-            departure.member.key: departure for departure in history.departures
+            departure.member.key: departure
+            for departure in history.all_departures
         }
         # A repeated join record can add an evicted member again. Its next
         # eviction then starts a new wait.
--- a/copperyard/snapshots.py
+++ b/copperyard/snapshots.py
@@ -21,6 +21,7 @@
     encode_configuration,
 )
 from copperyard.membership import (
+    Departure,
     View,
     ViewHistory,
     apply_member_record,
@@ -129,17 +130,27 @@
 
 
 def _encode_history(history: ViewHistory) -> dict[str, Any]:
-    """Encode only the current view.
+    """Encode the current view and the last departures.
 
     Nodes hold histories of different lengths, but a snapshot must be equal on
     all of them. A node that starts from a snapshot treats every member as a
-    possible past owner of each server.
+    possible past owner of each server. It has to know the departures, because
+    members that departed may hold claims of request ids.
     """
-    return _encode_view(history.current)
+    departures = msgspec.to_builtins(history.all_departures)
+    return {**_encode_view(history.current), 'departures': departures}
 
 
 def _decode_history(body: object) -> Result[ViewHistory, RecordError]:
-    return _decode_view(body).map(lambda view: ViewHistory(views=(view,)))
+    # Snapshots of earlier versions contain no departures.
+    stored = body.get('departures', ()) if isinstance(body, dict) else ()
+    try:
+        departures = msgspec.convert(stored, tuple[Departure, ...])
+    except msgspec.ValidationError as error:
+        return Failure(RecordError(f'invalid departures: {error}'))
+    return _decode_view(body).map(
+        lambda view: ViewHistory(views=(view,), earlier_departures=departures)
+    )
 
 
 CONFIGURATION_STATE_MACHINE: Final = StateMachine(
--- a/tests/test_snapshots.py
+++ b/tests/test_snapshots.py
@@ -8,10 +8,12 @@
 from hypothesis import strategies as st
 
 from copperyard import snapshots
+from copperyard.ownership import HandoverTable
 from copperyard.records import SnapshotTaken, encode_record
 from copperyard.snapshots import (
     CONFIGURATION_STATE_MACHINE,
     SNAPSHOT_INTERVAL_OFFSETS,
+    VIEW_HISTORY_STATE_MACHINE,
     VIEW_STATE_MACHINE,
     ReplicaState,
     SnapshotError,
@@ -60,6 +62,31 @@
     assert text == encode_snapshot(state_machine, replica)
 
 
+@_DETERMINISTIC
+@given(member_logs(), st.integers(0, 40))
+def test_node_from_a_snapshot_knows_the_departures(bodies, count):
+    """Guards against a new node that grants ids of a lost home again.
+
+    Its later snapshots must equal those of nodes that read all records.
+    """
+    machine = VIEW_HISTORY_STATE_MACHINE
+    text = encode_snapshot(machine, _apply(machine, bodies[:count]))
+    restored = restore_snapshot(machine, text).unwrap()
+    started, complete = (
+        _apply(machine, bodies[count:], restored),
+        _apply(machine, bodies),
+    )
+    assert encode_snapshot(machine, started) == encode_snapshot(
+        machine, complete
+    )
+    ages_by_start = []
+    for replica in (started, complete):
+        table = HandoverTable('m0#1')
+        table.apply(replica.state, 0.0)
+        ages_by_start.append(table.find_lost_home_ages(frozenset(), 1.0))
+    assert ages_by_start[0] == ages_by_start[1]
+
+
 @_DETERMINISTIC
 @given(_LOGS)
 def test_interleaved_parts_complete_a_snapshot(log):
