Count long requests of a past owner until they end

After a takeover without acknowledgement, the new owner used all slots of a backend server 10 s later, also while requests of the past owner with a longer deadline still ran on it. A server that stays cold for that long could get more than its allowance in total.

Cause: the busy count of the first load report was dropped after TAKEOVER_BUSY_S, the default deadline; deadlines go up to 600 s.

After that time the count is now checked against one report in each further period: what remains, at most as much as before, is taken off the slots, until a report shows none, no report has come for two periods, or the longest deadline has passed. In the first period nothing changes. After it, the count and the bound for silent past owners do not add up, because the requests of a silent owner are part of both.

Evidence: the new test failed before with a limit of 8 instead of 3 while the reports still showed 5 requests of others.

--- a/copperyard/limits.py
+++ b/copperyard/limits.py
@@ -10,6 +10,7 @@
 from copperyard.authority import AuthorityLevel
 from copperyard.exceptions import LoadHeaderError
 from copperyard.outcomes import AttemptOutcome
+from copperyard.requests import DEADLINE_MAX_MS, MILLISECONDS_PER_S
 
 # A response slower than this multiple of the baseline counts as an outlier.
 # With widely spread service times (lognormal, sigma 1), ordinary responses
@@ -28,7 +29,8 @@
 COLD_HOLD_S: Final = 1.0
 # Time for which the busy count reported at a takeover is subtracted from the
 # limit. Requests of the past owner with the default deadline have ended by
-# then.
+# then. Afterwards, one load report in each further period shows how many of
+# them are left, for at most the longest deadline.
 TAKEOVER_BUSY_S: Final = 10.0
 # Time after a report of draining within which a report of another state is
 # assumed to be older than it.
@@ -162,6 +164,7 @@
         '_drain_reported_at',
         '_takeover_busy',
         '_takeover_busy_until',
+        '_takeover_checked_at',
         '_round_number',
         '_sample_count',
         '_consecutive_outliers',
@@ -183,6 +186,7 @@
         self._drain_reported_at: float | None = None
         self._takeover_busy = 0
         self._takeover_busy_until = 0.0
+        self._takeover_checked_at = 0.0
         self.limit = 0
         self.reset_to_cold(now)
 
@@ -299,7 +303,10 @@
         if self._constraints.start_cold and not self._takeover_busy_until:
             self._takeover_busy = max(report.busy - in_flight, 0)
             self._takeover_busy_until = now + TAKEOVER_BUSY_S
+            self._takeover_checked_at = now
             self._update_limit(now)
+        elif self._is_takeover_check_due(now):
+            self._check_takeover(report.busy - in_flight, now)
         elif self._has_no_effect(report):
             return
         if report.state is LoadState.DRAINING or not report.slots:
@@ -312,6 +319,20 @@
         self._window = min(self._window, max(report.slots, 1))
         self._update_limit(now)
 
+    def _is_takeover_check_due(self, now: float) -> bool:
+        next_check_at = self._takeover_checked_at + TAKEOVER_BUSY_S
+        return self._takeover_busy > 0 and now >= next_check_at
+
+    def _check_takeover(self, foreign_busy: int, now: float) -> None:
+        # Only one report counts in each period: the lowest of several may have
+        # been sent before requests of this proxy arrived at the server.
+        self._takeover_checked_at = now
+        began_at = self._takeover_busy_until - TAKEOVER_BUSY_S
+        is_over = now >= began_at + DEADLINE_MAX_MS / MILLISECONDS_PER_S
+        remaining = 0 if is_over else max(foreign_busy, 0)
+        self._takeover_busy = min(self._takeover_busy, remaining)
+        self._update_limit(now)
+
     def _record_response(
         self,
         latency_s: float,
@@ -406,6 +427,9 @@
         foreign_in_flight = self._constraints.foreign_in_flight
         if now < self._takeover_busy_until:
             foreign_in_flight = max(foreign_in_flight, self._takeover_busy)
+        elif now < self._takeover_checked_at + 2 * TAKEOVER_BUSY_S:
+            # The bound for silent past owners covers their requests too.
+            limit = min(limit, self._constraints.slots - self._takeover_busy)
         self.limit = (
             0 if self._is_closed() else max(limit - foreign_in_flight, 0)
         )
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -277,6 +277,30 @@
     assert limiter.limit == 4
 
 
+def test_long_requests_of_a_past_owner_count_until_they_end():
+    """Guards against a server used beyond its slots after a takeover.
+
+    Requests of an evicted owner can run until the longest deadline, far beyond
+    ``TAKEOVER_BUSY_S``.
+    """
+    limiter = ConcurrencyLimiter(LimitConstraints(8, 8, start_cold=True), 0.0)
+    period_s = TAKEOVER_BUSY_S
+    for at, busy, limit in (
+        (0.0, 5, 3),
+        (period_s, 5, 3),
+        (2 * period_s, 4, 4),
+        (2 * period_s + 1, 0, 4),
+        (3 * period_s, 6, 4),
+        (6 * period_s, 4, 4),
+        (600.0, 4, 8),
+    ):
+        limiter.apply_load_report(
+            LoadReport(LoadState.READY, 8, busy, 8), 0, at
+        )
+        limiter.apply_authority(AuthorityLevel.FULL, at + 1)
+        assert limiter.limit == limit
+
+
 def test_draining_server_stays_closed_until_it_is_ready_again():
     """A draining server does not receive requests after an outdated report.
 
