Count a stopped owner until its last requests have ended

A new owner of a backend server could ignore requests that an evicted member still had in flight there, if that member had stopped long after its eviction.

Cause: an evicted owner that was known to have stopped was forgotten 60 s after its eviction had been read. One that had been partitioned for longer was forgotten at once, and its last requests can run for 600 s in any case. The next owner then did not take the busy count of the server into account.

The retention is now the longest deadline, counted from when the member became known to have stopped.

Evidence: the new test failed before: the owner was forgotten as soon as it was known to have stopped.

--- a/copperyard/ownership.py
+++ b/copperyard/ownership.py
@@ -27,6 +27,7 @@
     rank_members,
     score_member,
 )
+from copperyard.requests import DEADLINE_MAX_MS, MILLISECONDS_PER_S
 
 __all__ = (
     'HANDOVER_WAIT_S',
@@ -47,9 +48,9 @@
 
 # Interval of the search for past owners whose entries can be removed.
 CLEANUP_INTERVAL_S: Final = 10.0
-# An evicted member that is known to have stopped stays a past owner for this
-# long after its eviction was read.
-_STOPPED_OWNER_RETENTION_S: Final = 60.0
+# An evicted member stays a past owner for this long after it became known to
+# have stopped: its last requests may run until the longest deadline.
+_STOPPED_OWNER_RETENTION_S: Final = DEADLINE_MAX_MS / MILLISECONDS_PER_S
 
 # Added to the score of a member in the same failure domain as the server. It
 # exceeds every score, so a member of another failure domain owns the server
@@ -443,6 +444,7 @@
         :param now: ``CLOCK_BOOTTIME`` of this VM in seconds.
         :returns: shares by server id; other servers must not be used.
         """
+        self._record_stopped(facts.stopped_keys, now)
         if now >= self._next_cleanup_at:
             self._next_cleanup_at = now + CLEANUP_INTERVAL_S
             self._owners.forget_past_owners(
@@ -485,18 +487,17 @@
         :returns: seconds since a call first found the departed member among
             ``stopped_keys``, by member key; 0 if it is not among them.
         """
-        lost_keys = {
-            key
+        self._record_stopped(stopped_keys, now)
+        return {
+            key: now - self._stopped_since_by_key.get(key, now)
             for key, departure in self._departures_by_key.items()
             if not departure.claims_handed
         }
+
+    def _record_stopped(self, stopped_keys: frozenset[str], now: float) -> None:
         self._stopped_since_by_key = {
             key: self._stopped_since_by_key.get(key, now)
-            for key in lost_keys & stopped_keys
-        }
-        return {
-            key: now - self._stopped_since_by_key.get(key, now)
-            for key in lost_keys
+            for key in self._departures_by_key.keys() & stopped_keys
         }
 
     def _compute_share(
@@ -533,11 +534,8 @@
             case _PastOwnerState.RELEASED:
                 return True
             case _PastOwnerState.STOPPED:
-                return (
-                    now
-                    >= self._departure_read_at_by_key[key]
-                    + _STOPPED_OWNER_RETENTION_S
-                )
+                stopped_since = self._stopped_since_by_key.get(key, now)
+                return now >= stopped_since + _STOPPED_OWNER_RETENTION_S
             case _PastOwnerState.WAITING:
                 # Its departure is too old to be in the history.
                 return (
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -203,6 +203,27 @@
     assert not all(share.may_send for share in shares.values())
 
 
+def test_stopped_owner_counts_for_the_longest_deadline() -> None:
+    """Guards against ignoring the last requests of a past owner.
+
+    A partitioned owner can send long after its eviction was read, and its
+    requests can run until the longest deadline.
+    """
+    table = HandoverTable(_OWN.key)
+    table.set_servers(dict.fromkeys(_SERVERS, ''))
+    table.apply(_BOTH_JOINED, 0.0)
+    table.apply(_EVICTED, 100.0)
+    stopped = HandoverFacts(stopped_keys=_OTHER_KEYS)
+    for facts, now, is_cold in (
+        (HandoverFacts(), 900.0, True),
+        (stopped, 1000.0, True),
+        (stopped, 1599.0, True),
+        (stopped, 1610.0, False),
+    ):
+        shares = table.compute_shares(facts, now).values()
+        assert any(share.start_cold for share in shares) == is_cold
+
+
 @pytest.mark.parametrize(
     ('slots', 'silent', 'bound'),
     [(4, 0, 4), (5, 1, 3), (5, 2, 1), (4, 2, 0), (1, 3, 1), (6, 5, 0)],
