--- a/copperyard/claims.py
+++ b/copperyard/claims.py
@@ -16,14 +16,17 @@
   members that rank lower and were present before the current home joined. If
   a higher-ranked member departed without handing over its claims, the home
   counts as lost. A home that joined within the retention of claims asks the
-  next member in the ranking, which does the same in turn.
+  next member in the ranking, which does the same in turn. So does one that
+  may have joined unnoticed by a lower-ranked member, until the claims that
+  this member granted meanwhile have expired.
 - A member answers only for views that it has applied, so a member that was
   asked as a previous home no longer grants the id.
 """
 
+import math
 from collections import OrderedDict
 from collections.abc import Collection, Iterable, Mapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from enum import IntEnum
 from types import MappingProxyType
 from typing import Final, TypeAlias
@@ -101,6 +104,37 @@
     FULL = 2
 
 
+@dataclass(frozen=True, slots=True)
+class Contact:
+    """First contact with another member that lasted ``VIEW_LAG_MAX_S``.
+
+    By its end the other member has applied the join of this one. Until then
+    it may grant ids under a view without this member.
+
+    :param since: when the contact began; infinity without contact.
+    :param until: when the other member was last heard from.
+    """
+
+    since: float = math.inf
+    until: float = -math.inf
+
+    @property
+    def is_complete(self) -> bool:
+        """Whether it has lasted ``VIEW_LAG_MAX_S``."""
+        return self.until - self.since >= VIEW_LAG_MAX_S
+
+    def update(self, now: float, *, is_heard: bool) -> 'Contact':
+        """Return the contact after a further grant.
+
+        :param now: ``CLOCK_BOOTTIME`` in seconds.
+        :param is_heard: whether the agent receives heartbeats of the member.
+        :returns: the contact; a shorter one that was interrupted is dropped.
+        """
+        if self.is_complete:
+            return self
+        return Contact(min(self.since, now), now) if is_heard else Contact()
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class HomeView:
     """The members that can be homes, as this member knows them.
@@ -116,6 +150,8 @@
         claim of the id is needed for the retention after that.
     :param handed_over_keys: members that departed within the last
         ``CLAIM_LIFETIME_MAX_S`` after handing over their claims.
+    :param contacts_by_key: contact with each member that was present or lost
+        when this member joined.
     """
 
     member_key: str
@@ -124,6 +160,7 @@
     member_keys: frozenset[str]
     lost_home_keys: frozenset[str] = frozenset()
     handed_over_keys: frozenset[str] = frozenset()
+    contacts_by_key: Mapping[str, Contact] = field(default_factory=dict)
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -247,6 +284,39 @@
     return None
 
 
+def advance_view(
+    previous: HomeView,
+    current: HomeView,
+    heard_keys: Collection[str],
+    now: float,
+) -> HomeView:
+    """Return a new view with what its predecessor knew about the join.
+
+    :param previous: the view that is replaced.
+    :param current: the new view.
+    :param heard_keys: members that this member is in contact with.
+    :param now: ``CLOCK_BOOTTIME`` in seconds.
+    :returns: ``current`` with ``joined_at`` and ``contacts_by_key`` carried
+        over, or initialized if this member was not in the previous view.
+    """
+    is_same_member = previous.member_key == current.member_key
+    if not is_same_member or current.member_key not in previous.member_keys:
+        present_keys = current.member_keys | current.lost_home_keys
+        return replace(
+            current,
+            joined_at=now,
+            contacts_by_key=dict.fromkeys(present_keys, Contact()),
+        )
+    return replace(
+        current,
+        joined_at=previous.joined_at,
+        contacts_by_key={
+            key: contact.update(now, is_heard=key in heard_keys)
+            for key, contact in previous.contacts_by_key.items()
+        },
+    )
+
+
 def verdict_to_outcome(verdict: ClaimVerdict) -> NotRun | Unknown | None:
     """Return the final outcome of a request whose claim was not granted.
 
@@ -358,7 +428,7 @@
         self._is_closed = True
 
     def retire(self) -> None:
-        """Stop granting or refusing new ids; other members may grant them."""
+        """Stop granting and refusing ids; other members are their homes now."""
         self.close()
         self._has_missed_claims = True
 
@@ -453,9 +523,13 @@
             case ClaimVerdict.GRANTED:
                 # The previous home has already granted this attempt.
                 self._store(call, ClaimState.RUNNING, now)
-            case ClaimVerdict.HOME_LOST:
-                # The caller may repeat the id after the lost home has dropped
-                # out of `lost_home_keys`; it must be refused then too.
+            case ClaimVerdict.FINISHED:
+                # This attempt has restarted the retention of the claim, which
+                # may now outlast the time for which the previous home is asked.
+                self._store(call, ClaimState.ANSWERED, now)
+            case ClaimVerdict.HOME_LOST | ClaimVerdict.UNKNOWN:
+                # The caller may also repeat the id after the lost home has
+                # dropped out of `lost_home_keys`; it must be refused then too.
                 self._store(call, ClaimState.UNKNOWN, now)
         return _relay_verdict(answer)
 
@@ -472,18 +546,27 @@
         if is_home and ranked[0] != view.member_key:
             return ClaimVerdict.HOME_LOST
         lower_ranked = ranked[ranked.index(view.member_key) + 1 :]
-        if not lower_ranked or not self._may_lower_ranked_hold_claims(now):
+        if not self._may_hold_claims(lower_ranked, now):
             return None
         if lower_ranked[0] in view.lost_home_keys:
             return ClaimVerdict.HOME_LOST
         return AskPrevious(lower_ranked[0], view.view_end)
 
-    def _may_lower_ranked_hold_claims(self, now: float) -> bool:
-        # Lower-ranked members hold claims that were granted before this
-        # member joined or offered after it closed.
-        age_s = now - self.view.joined_at
-        is_old = age_s > CLAIM_LIFETIME_MAX_S + VIEW_LAG_MAX_S
-        return not is_old or self._has_missed_claims
+    def _may_hold_claims(self, lower_ranked: list[str], now: float) -> bool:
+        # Lower-ranked members hold claims that were granted before they knew
+        # that this member had joined, or offered after it closed.
+        view = self.view
+        contacts = [
+            view.contacts_by_key[key]
+            for key in lower_ranked
+            if key in view.contacts_by_key
+        ]
+        if not all(contact.is_complete for contact in contacts):
+            return True
+        starts = (contact.since for contact in contacts)
+        joined_at = max((view.joined_at, *starts))
+        is_old = now - joined_at > CLAIM_LIFETIME_MAX_S + VIEW_LAG_MAX_S
+        return bool(lower_ranked) and (not is_old or self._has_missed_claims)
 
     def _check_held(
         self,
@@ -498,12 +581,15 @@
         if is_same and held.state is ClaimState.RUNNING:
             return ClaimVerdict.GRANTED
         if held.state is not ClaimState.RUNNING:
+            if self._may_have_successors:
+                # The retention of a copy there cannot be restarted here.
+                return ClaimVerdict.BEHIND
             # The caller is still repeating the id, so restart its retention.
             self._set_state(call.key, held, held.state, now)
         return _VERDICTS_BY_STATE[held.state]
 
     def _grant(self, call: ClaimCall, now: float) -> ClaimVerdict:
-        if self._is_closed and self._has_missed_claims:
+        if self._may_have_successors:
             return ClaimVerdict.BEHIND
         if self._is_closed or self._is_full():
             return ClaimVerdict.UNAVAILABLE
@@ -515,6 +601,10 @@
             claim = _Claim(call.attempt_id, call.claimant, state, now)
             self._put(call.key, claim)
 
+    @property
+    def _may_have_successors(self) -> bool:
+        return self._is_closed and self._has_missed_claims
+
     def _is_full(self) -> bool:
         released = self._claims_by_state[ClaimState.RELEASED]
         while len(self) >= self._capacity and released:
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -1,5 +1,6 @@
 """Tests that no request id is granted twice, whatever happens to its home."""
 
+import math
 import random
 
 import pytest
@@ -20,6 +21,7 @@
     HandedOverClaim,
     HomeView,
     PreviousAnswer,
+    advance_view,
     find_home,
     make_claim_key,
     verdict_to_outcome,
@@ -201,6 +203,33 @@
     assert repeat is ClaimVerdict.UNKNOWN
 
 
+@pytest.mark.parametrize(
+    ('contact_s', 'expected'),
+    [
+        (VIEW_LAG_MAX_S - 1, AskPrevious(_RANKED[1], 1)),
+        (VIEW_LAG_MAX_S, ClaimVerdict.GRANTED),
+    ],
+)
+def test_brief_contact_does_not_show_that_a_member_knows_the_home(
+    contact_s, expected
+):
+    """Guards against a second run of an id granted under an old view.
+
+    A member that is cut off again at once may not have applied the join.
+    """
+    table = _make_ranked_table(0, (0, 1))
+    view, previous = table.view, _make_table(member_key='').view
+    for at, heard_keys in (
+        (0, set()),
+        (400, {_RANKED[1]}),
+        (400 + contact_s, {_RANKED[1]}),
+        (401 + contact_s, set()),
+    ):
+        previous = advance_view(previous, view, heard_keys, at)
+    table.view = previous
+    assert table.claim(_make_call('a', _KEY_WITHOUT_HOME), 2000) == expected
+
+
 @pytest.mark.parametrize(
     ('answer', 'expected'),
     [
@@ -228,6 +257,25 @@
     assert other.claim(call, 1, stale) == ask
 
 
+@pytest.mark.parametrize(
+    'answer', [ClaimVerdict.FINISHED, ClaimVerdict.UNKNOWN]
+)
+def test_ended_claim_of_the_previous_home_is_kept_for_the_retention(answer):
+    """Guards against a second run of an id repeated again and again.
+
+    Each repeat restarts the retention of the claim, also shortly before the
+    home no longer asks the previous one.
+    """
+    table = _make_ranked_table(0, joined_at=0)
+    asks_until = CLAIM_LIFETIME_MAX_S + VIEW_LAG_MAX_S
+    call = _make_call('a', _KEY_WITHOUT_HOME)
+    ask = table.claim(call, asks_until)
+    table.claim(call, asks_until, PreviousAnswer(ask, answer))
+    repeat = _make_call('b', _KEY_WITHOUT_HOME)
+    now = asks_until + REQUEST_ID_RETENTION_S - 1
+    assert table.claim(repeat, now) is answer
+
+
 def test_call_under_another_view_is_not_decided():
     """Guards against a grant while another member has become the home.
 
@@ -315,7 +363,8 @@
 
     A member that was evicted or has left keeps its old view until time
     advances. The views of the others are delayed by at most
-    ``VIEW_LAG_MAX_S``.
+    ``VIEW_LAG_MAX_S``. Members in ``cut_keys`` have lost the log and all other
+    members, but not their callers; they keep their view until they stop.
     """
 
     def __init__(self):
@@ -327,35 +376,31 @@
         self.synced_at_by_key = {}
         self.departed_keys = set()
         self.closed_keys = set()
+        self.cut_keys = set()
         for _ in range(3):
             self.join()
 
     def join(self):
         key = f'm{len(self.views)}#1'
         self.views.append(self.views[-1] | {key})
-        view = HomeView(
-            member_key=key,
-            joined_at=self.now,
-            view_end=len(self.views),
-            member_keys=self.views[-1],
-        )
-        self.tables_by_key[key] = ClaimTable(view)
+        self.tables_by_key[key] = _make_table(member_key='')
         self.sync(key)
 
     def sync(self, key):
-        if key in self.departed_keys:
+        if key in self.departed_keys | self.cut_keys:
             return
         self.synced_at_by_key[key] = self.now
         table = self.tables_by_key[key]
-        end = len(self.views)
-        table.view = HomeView(
+        view = HomeView(
             member_key=key,
-            joined_at=table.view.joined_at,
-            view_end=end,
+            joined_at=self.now,
+            view_end=len(self.views),
             member_keys=self.views[-1],
             lost_home_keys=self._list_recent(self.lost_at_by_key),
             handed_over_keys=self._list_recent(self.handed_over_at_by_key),
         )
+        heard_keys = self.views[-1] - self.cut_keys
+        table.view = advance_view(table.view, view, heard_keys, self.now)
 
     def _list_recent(self, at_by_key):
         return frozenset(
@@ -369,7 +414,20 @@
         departed_at_by_key = (
             self.handed_over_at_by_key if handed else self.lost_at_by_key
         )
-        departed_at_by_key[key] = self.now
+        departed_at_by_key[key] = math.inf if key in self.cut_keys else self.now
+
+    def cut(self, key):
+        if key not in self.departed_keys:
+            self.cut_keys.add(key)
+
+    def stop_or_reconnect(self, key):
+        if key in self.cut_keys & self.departed_keys:
+            self.lost_at_by_key[key] = self.now
+        self.cut_keys.discard(key)
+
+    def find_table(self, sender, key):
+        is_cut = (sender in self.cut_keys) != (key in self.cut_keys)
+        return None if is_cut else self.tables_by_key.get(key)
 
     def evict(self, key):
         if len(self.views[-1]) > 1 and key in self.views[-1]:
@@ -378,7 +436,7 @@
 
     def advance(self, seconds):
         self.now += seconds
-        for key in self.departed_keys:
+        for key in self.departed_keys - self.cut_keys:
             self.tables_by_key.pop(key, None)
         for key, table in self.tables_by_key.items():
             is_current = table.view.view_end == len(self.views)
@@ -394,7 +452,7 @@
         closed_keys = frozenset()
         while homes := table.collect_handover(self.now, closed_keys):
             home, claims = next(iter(homes.items()))
-            target = self.tables_by_key.get(home)
+            target = self.find_table(key, home)
             if target is None:  # The member is gone, or none is left.
                 return False
             reply = target.accept_handover(claims, self.now)
@@ -405,7 +463,7 @@
         return True
 
     def leave(self, key):
-        if len(self.views[-1]) > 1 and key in self.views[-1]:
+        if len(self.views[-1]) > 1 and key in self.views[-1] - self.cut_keys:
             handed = self.hand_over(key)
             self.tables_by_key[key].retire()
             self.remove(key, handed=handed)
@@ -413,7 +471,7 @@
 
     def call_member(self, member, call):
         """Make a claim call, and the calls to previous homes it requires."""
-        table = self.tables_by_key.get(member)
+        table = self.find_table(call.claimant, member)
         if table is None:
             return ClaimVerdict.BEHIND
         answer = table.claim(call, self.now)
@@ -458,6 +516,9 @@
             self.ended_at_by_key.pop(key, None)
         elif isinstance(verdict_to_outcome(verdict), NotRun):
             assert key not in self.granted_by_key, 'not run after a grant'
+        elif verdict is ClaimVerdict.FINISHED and key in self.ended_at_by_key:
+            # The refusal restarts the time in which the caller may repeat it.
+            self.ended_at_by_key[key] = self.cell.now
         return verdict
 
     def _end_overdue_runs(self):
@@ -493,13 +554,9 @@
             return
         view = table.view
         home = find_home(key, view.member_keys, view.handed_over_keys)
-        if home in self.cell.tables_by_key:
-            self.cell.tables_by_key[home].finish(
-                key,
-                attempt,
-                state,
-                self.cell.now,
-            )
+        home_table = self.cell.find_table(claimant, home)
+        if home_table is not None:
+            home_table.finish(key, attempt, state, self.cell.now)
 
 
 _STEP_NAMES = (
@@ -530,7 +587,7 @@
             cell.join()
         case 'advance':
             cell.advance([1.0, 119.0, 400.0][number])
-        case 'sync' | 'evict' | 'hand_over' | 'leave':
+        case _ if name not in {'join', 'advance'}:
             getattr(cell, name)(key)
 
 
@@ -542,6 +599,19 @@
             _run_step(cell, callers, step)
 
 
+def _run_random_steps(rng, names):
+    steps = [
+        (
+            rng.choice(names),
+            rng.randrange(6),
+            rng.randrange(3),
+            rng.random() < 0.5,
+        )
+        for _ in range(60)
+    ]
+    _run_steps(steps)
+
+
 @settings(derandomize=True, max_examples=300, deadline=None)
 @given(st.lists(_STEPS, min_size=10, max_size=60))
 def test_no_id_is_granted_twice(steps):
@@ -553,21 +623,25 @@
     _run_steps(steps)
 
 
+@pytest.mark.parametrize('seed', range(4))
+def test_no_id_is_granted_twice_by_partitioned_members(seed):
+    """Guards against a second grant of an id while a lost home still grants.
+
+    A member that has lost the log and its peers may miss the join of a later
+    home, and grant ids under its old view for longer than a claim lives.
+    """
+    rng = random.Random(seed)
+    names = (*_STEP_NAMES, 'cut', 'stop_or_reconnect', 'advance')
+    for _ in range(750):
+        _run_random_steps(rng, names)
+
+
 @pytest.mark.parametrize('seed', range(4))
 def test_no_id_is_granted_twice_in_long_sequences(seed):
     """Guards against two grants in event orders too rare for short runs."""
     rng = random.Random(seed)
     for _ in range(750):
-        steps = [
-            (
-                rng.choice(_STEP_NAMES),
-                rng.randrange(6),
-                rng.randrange(3),
-                rng.random() < 0.5,
-            )
-            for _ in range(60)
-        ]
-        _run_steps(steps)
+        _run_random_steps(rng, _STEP_NAMES)
 
 
 def test_id_of_a_home_that_handed_over_runs_once_elsewhere():
@@ -605,7 +679,14 @@
 
 
 def test_retired_home_does_not_answer_for_ids():
-    """Guards against "not run" from a home whose successor may have run it."""
+    """Guards against "not run" from a home whose successor may have run it.
+
+    A refusal of a repeat would not restart the retention at the successor.
+    """
     table = _make_table()
+    ended_key = make_claim_key('m1#1', 'ended')
+    table.claim(_make_call('a', ended_key), 0)
+    table.finish(ended_key, 'a', ClaimState.ANSWERED, 0)
     table.retire()
     assert table.claim(_make_call('a'), 0) is ClaimVerdict.BEHIND
+    assert table.claim(_make_call('b', ended_key), 0) is ClaimVerdict.BEHIND
