--- a/copperyard/caller_api.py
+++ b/copperyard/caller_api.py
@@ -13,7 +13,7 @@
 
 from copperyard.attempt_types import AttemptFailure, FailureKind
 from copperyard.blackboard import ProxyBoard
-from copperyard.clock import seconds_since_boot
+from copperyard.clock import MILLISECONDS_PER_S, seconds_since_boot
 from copperyard.exchanges import StreamedResponse
 from copperyard.fault_barriers import FaultBarrier
 from copperyard.forwarding import FinalOutcome, Forwarder
@@ -37,7 +37,6 @@
 from copperyard.serving import Receive, Scope, Send
 
 LOOKUP_PATH: Final = '/copperyard/v1/entries'
-MILLISECONDS_PER_S: Final = 1000
 ANSWERED_HEADER: Final = (b'copperyard-outcome', b'answered')
 _JSON_HEADER: Final = (b'content-type', b'application/json')
 _STATUSES_BY_REASON: Final[Mapping[RefusalReason, HTTPStatus]] = (
--- a/copperyard/claim_manager.py
+++ b/copperyard/claim_manager.py
@@ -24,7 +24,7 @@
     make_claim_key,
     verdict_to_outcome,
 )
-from copperyard.clock import seconds_since_boot
+from copperyard.clock import MILLISECONDS_PER_S, seconds_since_boot
 from copperyard.grants import Entry, Grant
 from copperyard.logs import log_event
 from copperyard.messages_pb2 import (
@@ -44,7 +44,6 @@
 BEHIND_RETRY_INTERVAL_S: Final = 0.05
 # Longest time for which a caller waits for a claim to be granted or refused.
 CLAIM_TIMEOUT_S: Final = 0.5
-MILLISECONDS_PER_S: Final = 1000
 HANDOVER_BATCH_CLAIMS: Final = 500
 
 
--- a/copperyard/claims.py
+++ b/copperyard/claims.py
@@ -31,6 +31,7 @@
 from types import MappingProxyType
 from typing import Final, TypeAlias
 
+from copperyard.clock import MILLISECONDS_PER_S
 from copperyard.outcomes import (
     NotRun,
     RefusalReason,
@@ -38,7 +39,7 @@
     UnknownReason,
 )
 from copperyard.rendezvous import find_owner, rank_members
-from copperyard.requests import DEADLINE_MAX_MS, MILLISECONDS_PER_S
+from copperyard.requests import DEADLINE_MAX_MS
 
 REQUEST_ID_RETENTION_S: Final = 120.0
 # Longest delay in applying a view. A member with authority has applied it
--- a/copperyard/clock.py
+++ b/copperyard/clock.py
@@ -1,8 +1,9 @@
-"""Clock for leases and deadlines."""
+"""Clock for leases and deadlines, and units of time."""
 
 import time
 from typing import Final
 
+MILLISECONDS_PER_S: Final = 1000
 NANOSECONDS_PER_S: Final = 1_000_000_000
 
 
--- a/copperyard/dispatching.py
+++ b/copperyard/dispatching.py
@@ -14,6 +14,7 @@
     AttemptFailure,
     FailureKind,
 )
+from copperyard.clock import MILLISECONDS_PER_S
 from copperyard.concurrency_estimates import NEARLY_FULL_SHARE
 from copperyard.entry_board import EntryBoard
 from copperyard.exchanges import BackendPool, ForwardResult, StreamedResponse
@@ -35,7 +36,7 @@
     ServerPicker,
 )
 from copperyard.platform import PLATFORM_DIALECT
-from copperyard.requests import MILLISECONDS_PER_S, CallerRequest
+from copperyard.requests import CallerRequest
 from copperyard.routes import Route
 from copperyard.server_table import KnownServer
 
--- a/copperyard/entry_api.py
+++ b/copperyard/entry_api.py
@@ -6,6 +6,7 @@
 
 from copperyard.caller_connections import ReceivedRequest
 from copperyard.caller_responses import CallerResponse, build_response
+from copperyard.clock import MILLISECONDS_PER_S
 from copperyard.dispatching import Dispatcher, DispatchOutcome, RequestState
 from copperyard.entry_board import EntryBoard
 from copperyard.entry_gauges import update_gauges
@@ -28,7 +29,7 @@
     encode_lookup,
     read_caller_domain,
 )
-from copperyard.requests import HOP_BY_HOP_HEADERS, MILLISECONDS_PER_S
+from copperyard.requests import HOP_BY_HOP_HEADERS
 from copperyard.routes import RequestLimits, Route
 from copperyard.store_poller import SNAPSHOT_PATH
 from copperyard.store_replica import StoreReplica
--- a/copperyard/limits.py
+++ b/copperyard/limits.py
@@ -8,9 +8,10 @@
 from returns.result import Failure, Result, Success
 
 from copperyard.authority import AuthorityLevel
+from copperyard.clock import MILLISECONDS_PER_S
 from copperyard.exceptions import LoadHeaderError
 from copperyard.outcomes import AttemptOutcome
-from copperyard.requests import DEADLINE_MAX_MS, MILLISECONDS_PER_S
+from copperyard.requests import DEADLINE_MAX_MS
 
 # A response slower than this multiple of the baseline counts as an outlier.
 # With widely spread service times (lognormal, sigma 1), ordinary responses
--- a/copperyard/loan_manager.py
+++ b/copperyard/loan_manager.py
@@ -7,7 +7,7 @@
 from anyio.abc import TaskGroup
 
 from copperyard.blackboard import ProxyBoard
-from copperyard.clock import seconds_since_boot
+from copperyard.clock import MILLISECONDS_PER_S, seconds_since_boot
 from copperyard.grants import Entry
 from copperyard.loans import BorrowerLoan, LoanTable, LoanTerms, latest_start
 from copperyard.logs import log_event
@@ -25,7 +25,6 @@
 OWNERS_ASKED_MAX: Final = 2
 # Time for which an owner without a free slot is not asked again.
 REFUSED_RETRY_AFTER_MS: Final = 20
-MILLISECONDS_PER_S: Final = 1000
 MICROSECONDS_PER_S: Final = 1_000_000
 
 
--- a/copperyard/log_client.py
+++ b/copperyard/log_client.py
@@ -9,7 +9,7 @@
 import msgspec
 from returns.result import Failure, Result, Success
 
-from copperyard.clock import seconds_since_boot
+from copperyard.clock import MILLISECONDS_PER_S, seconds_since_boot
 from copperyard.platform_http import PlatformHttpClient
 
 # Initial and minimum time that a response may take beyond the long-polling
@@ -18,7 +18,6 @@
 # fixed 16 s a dead connection would be detected too late.
 MIN_TIMEOUT_S: Final = 2.0
 MAX_TIMEOUT_S: Final = 16.0
-MILLISECONDS_PER_S: Final = 1000
 
 # Agents exchange offsets as 64-bit integers.
 _Offset: TypeAlias = Annotated[int, msgspec.Meta(ge=0, le=2**62)]
--- a/copperyard/metrics.py
+++ b/copperyard/metrics.py
@@ -1,15 +1,13 @@
 """Counters, timers and gauges, kept in memory and optionally sent to statsd."""
 
 from collections import Counter, defaultdict
-from typing import Final
 
 from statsd import StatsClient
 
+from copperyard.clock import MILLISECONDS_PER_S
 from copperyard.latency_histograms import LatencyHistogram
 from copperyard.outcomes import RefusalReason, RetryReason, UnknownReason
 
-MILLISECONDS_PER_S: Final = 1000.0
-
 
 class Metrics:
     """Records metrics in memory and forwards them to a statsd server.
--- a/copperyard/ownership.py
+++ b/copperyard/ownership.py
@@ -11,6 +11,7 @@
 from types import MappingProxyType
 from typing import Final, TypeAlias
 
+from copperyard.clock import MILLISECONDS_PER_S
 from copperyard.membership import (
     LEASE_S,
     Departure,
@@ -27,7 +28,7 @@
     rank_members,
     score_member,
 )
-from copperyard.requests import DEADLINE_MAX_MS, MILLISECONDS_PER_S
+from copperyard.requests import DEADLINE_MAX_MS
 
 __all__ = (
     'HANDOVER_WAIT_S',
--- a/copperyard/picking.py
+++ b/copperyard/picking.py
@@ -7,10 +7,10 @@
 
 import anyio
 
+from copperyard.clock import MILLISECONDS_PER_S
 from copperyard.entry_board import EntryBoard
 from copperyard.load_probing import LoadProber, Probe
 from copperyard.outcomes import NotRun, RefusalReason
-from copperyard.requests import MILLISECONDS_PER_S
 from copperyard.server_loads import ServerLoad
 from copperyard.server_table import KnownServer
 
--- a/copperyard/platform/headers.py
+++ b/copperyard/platform/headers.py
@@ -2,8 +2,8 @@
 
 from typing import Final
 
+from copperyard.clock import MILLISECONDS_PER_S
 from copperyard.dialects import Dialect
-from copperyard.requests import MILLISECONDS_PER_S
 from copperyard.server_loads import LoadSample
 
 REQUEST_ID: Final = b'x-request-id'
--- a/copperyard/platform/operator_records.py
+++ b/copperyard/platform/operator_records.py
@@ -60,7 +60,6 @@
     health_path: Annotated[str, msgspec.Meta(pattern=_PATH_PATTERN)] = '/health'
     # Connections from all entries together, not per entry.
     max_connections: _Count = 100
-    warmup_s: _Seconds = 0.0
     warmup_per_s: _Ratio = 0.0
 
 
@@ -142,7 +141,6 @@
         name=resource.metadata.name,
         health_path=spec.health_path,
         connection_limit=spec.max_connections,
-        cold_s=spec.warmup_s,
         cold_requests_per_s=spec.warmup_per_s,
     )
 
--- a/copperyard/platform/store.py
+++ b/copperyard/platform/store.py
@@ -46,7 +46,6 @@
 # Topics that begin with "keyed." retain the newest record of each key.
 _ENTRIES_TOPIC: Final = 'keyed.entries'
 _OK: Final = 200
-_GONE: Final = 410
 # The response to a read begins with the end and the first offset of the topic.
 # Each record is preceded by its length; it consists of the length of its key in
 # one byte, the key, and the value.
--- a/copperyard/requests.py
+++ b/copperyard/requests.py
@@ -11,6 +11,7 @@
 
 from returns.result import Failure, Result, Success
 
+from copperyard.clock import MILLISECONDS_PER_S
 from copperyard.outcomes import Header, NotRun, RefusalReason
 
 DEADLINE_DEFAULT_MS: Final = 10_000
@@ -20,7 +21,6 @@
 # Longer service names and member keys are never valid; the limit keeps refusals
 # and claims small.
 HEADER_VALUE_MAX_BYTES: Final = 256
-MILLISECONDS_PER_S: Final = 1000
 
 SERVICE_HEADER: Final = b'copperyard-service'
 REQUEST_ID_HEADER: Final = b'copperyard-request-id'
--- a/copperyard/routes.py
+++ b/copperyard/routes.py
@@ -64,16 +64,13 @@
     :param health_path: path of the health check, which also reports the load.
     :param connection_limit: connections that a server accepts from all
         entries together.
-    :param cold_s: how long a server is cold, that is, still warming up after
-        its start.
-    :param cold_requests_per_s: requests per second that a cold server can
-        take from all entries together.
+    :param cold_requests_per_s: requests per second that a server that is still
+        warming up can take from all entries together.
     """
 
     name: str
     health_path: str
     connection_limit: int
-    cold_s: float
     cold_requests_per_s: float
 
 
--- a/tests/entry_builders.py
+++ b/tests/entry_builders.py
@@ -74,7 +74,6 @@
         name='ledger',
         health_path='/health',
         connection_limit=220,
-        cold_s=3.0,
         cold_requests_per_s=15.0,
     )
     return RouteTable(
