End the response timeout at the first byte of the response

A response of which the first bytes had arrived could still end as `silent`: the response timeout of a proxy, three times the 99th percentile of the response times, ran until the last byte of a buffered response. The caller got `unknown` or a retry, and the connection was closed, although the server was sending.

Cause: the scope of the exchange kept the response timeout until the head and the body were read; only streamed bodies were bounded by the deadline alone.

The first byte now replaces the response timeout by the deadline, with the kind `expired`. Bytes without end are still bounded: the timeout is set once, to the time of the deadline, and later bytes do not move it.

Evidence: the new test failed before in both cases, a response that needs 0.75 s with a response timeout of 0.2 s: `assert <FailureKind.SILENT: 'silent'> is None` and `assert <FailureKind.SILENT: 'silent'> is <FailureKind.EXPIRED: 'expired'>`.

--- a/copperyard/attempt_types.py
+++ b/copperyard/attempt_types.py
@@ -21,7 +21,7 @@
     sent.
     ``INVALID``: the request cannot be encoded as HTTP/1.1.
     ``RESET``: the connection failed before the first byte of the response.
-    ``SILENT``: the response did not arrive within ``response_timeout_s``.
+    ``SILENT``: no byte of the response arrived within ``response_timeout_s``.
     ``TRUNCATED``: the response is malformed or was cut off, or its end cannot
     be determined.
     ``MISMATCHED``: the response does not carry the id of this request.
@@ -118,8 +118,9 @@
     :param request: the caller's request.
     :param body: the complete body of the request.
     :param deadline: ``CLOCK_BOOTTIME`` in seconds.
-    :param response_timeout_s: longest time in seconds to wait for the response
-        after the last write of the request.
+    :param response_timeout_s: longest time in seconds to wait for the first
+        byte of the response after the last write of the request. The deadline
+        alone bounds the rest of the response.
     :param may_send: called immediately before the first byte is written, to
         check that the request may still be sent to the server (ownership,
         authority, loan). Once it has returned true, the request counts as
--- a/copperyard/exchanges.py
+++ b/copperyard/exchanges.py
@@ -373,7 +373,11 @@
 
     async def _read_bytes(self, connection: Connection) -> None:
         content = await connection.read()
-        self._has_response_begun = self._has_response_begun or bool(content)
+        if content and not self._has_response_begun:
+            self._has_response_begun = True
+            # The response timeout ends here: from now on, only the caller's
+            # deadline bounds the response.
+            self._set_timeout()
         self._parser.feed(content)
 
     def _release(self, connection: Connection) -> None:
--- a/copperyard/retries.py
+++ b/copperyard/retries.py
@@ -301,7 +301,7 @@
 
 
 def response_timeout_s(p99_s: float | None) -> float:
-    """Return the timeout for a response.
+    """Return the timeout for the first byte of a response.
 
     :param p99_s: 99th percentile of the service's response times in seconds;
         ``None`` if none were measured. It must include abandoned attempts
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -1,5 +1,6 @@
 """Forwarding of requests to backend servers over pooled connections."""
 
+import asyncio
 import json
 import random
 from contextlib import asynccontextmanager
@@ -183,6 +184,29 @@
         assert _is_response_to(await client.send('r2'), 'r2')
 
 
+@pytest.mark.parametrize(
+    ('left_s', 'kind'), [(5.0, None), (0.4, FailureKind.EXPIRED)]
+)
+async def test_arriving_response_is_bounded_by_the_deadline_alone(left_s, kind):
+    """Guards against ending a response as silent while it is arriving."""
+
+    async def serve(reader, writer):
+        await reader.readuntil(b'\r\n\r\n')
+        writer.write(b'HTTP/1.1 200 OK\r\ncopperyard-request-id: r1\r\n')
+        for part in (b'content-length: 2\r\n', b'\r\na', b'b'):
+            await asyncio.sleep(0.25)
+            writer.write(part)
+        writer.close()
+
+    async with await asyncio.start_server(serve, '127.0.0.1', 0) as listener:
+        port = listener.sockets[0].getsockname()[1]
+        client = PoolClient(SimpleNamespace(address=f'127.0.0.1:{port}'), 1)
+        with client.pool:
+            result = await client.send(response_timeout_s=0.2, left_s=left_s)
+    assert getattr(result, 'kind', None) is kind
+    assert kind or result.body == b'ab'
+
+
 async def test_response_without_length_counts_as_truncated():
     """Guards against forwarding the response of a crashed server as complete.
 
