Report a reset only for connections that the server has ended

A server that sent stray bytes on a recently used idle connection was treated as restarted: the router of a proxy made it cold, which limits it to its cold allowance while it is healthy.

Cause: the pool noticed unread bytes and the end of the stream by the same poll for input, and reported both to `on_reset`, when it took an idle connection and in the periodic check of all of them.

The connection is now asked whether the server has ended it (POLLRDHUP, or POLLHUP and POLLERR, which are always polled), before it is closed. Bytes before the end do not hide it. Connections with unread bytes are still closed and not used again.

--- a/copperyard/connections.py
+++ b/copperyard/connections.py
@@ -101,6 +101,16 @@
         poll.register(self._socket, select.POLLIN)
         return bool(poll.poll(0))
 
+    def is_closed_by_server(self) -> bool:
+        """Return whether the server has closed or reset the connection.
+
+        Bytes that the server sent before do not matter.
+        """
+        poll = select.poll()
+        # POLLERR and POLLHUP, which a reset sets, are always polled.
+        poll.register(self._socket, select.POLLRDHUP)
+        return bool(poll.poll(0))
+
     def fileno(self) -> int:
         """Return the descriptor of the socket."""
         return self._socket.fileno()
@@ -118,9 +128,10 @@
     Leaving the context closes all connections.
 
     :param clock: returns ``CLOCK_BOOTTIME`` in seconds.
-    :param on_reset: called with the id of a server that closed a connection
-        idle for less than ``FRESH_IDLE_MAX_S``. Keep-alive timeouts are
-        longer, so the server has probably restarted.
+    :param on_reset: called with the id of a server that closed or reset a
+        connection idle for less than ``FRESH_IDLE_MAX_S``. Keep-alive timeouts
+        are longer, so the server has probably restarted. Unread bytes alone
+        are no such sign.
     """
 
     def __init__(
@@ -279,7 +290,10 @@
         return [idle_by_descriptor[found] for found, _ in poll.poll(0)]
 
     def _close_unread(self, connection: Connection, now: float) -> None:
+        is_reset = (
+            now - connection.last_used_at < FRESH_IDLE_MAX_S
+            and connection.is_closed_by_server()
+        )
         self.close(connection)
-        is_recent = now - connection.last_used_at < FRESH_IDLE_MAX_S
-        if is_recent and self.on_reset is not None:
+        if is_reset and self.on_reset is not None:
             self.on_reset(connection.server_id)
