Give a retry that is not sent back to the shared budget

While servers were saturated, retries and hedges whose pick was refused used up the retry budget of their service for the whole window, so later requests were answered with an error that a retry would have avoided.

Cause: the retry is taken out of the budget before its server is picked and was not returned when the pick was refused, when it was cancelled (a hedge that still waits for a slot while the first attempt is answered), or when the attempt failed before anything was sent and no other server followed.

The retry is now returned unless `may_send` has confirmed an attempt. An exit stack holds it for the whole loop of attempts, so that cancellation returns it as well, and so that a retry that moves on to another server after a failed connection, without taking another one, keeps it. It is returned to the tenth of the window in which it was taken; after a change of the window it may stay taken, which never allows more.

A test compares a budget with returned retries to one that never took them, over random times and changes of the window.

--- a/copperyard/dispatching.py
+++ b/copperyard/dispatching.py
@@ -187,23 +187,35 @@
         state: RequestState,
         reason: RetryReason | None,
     ) -> None:
-        while state.outcome is None:
-            if not self._reserve_attempt(state, reason):
-                return
-            picked = await self._picker.pick(
-                state.request.service,
-                state.tried_server_ids,
-                self._build_pick_options(state, reason),
-            )
-            if isinstance(picked, NotRun):
-                state.attempts -= 1
-                state.record_failure(picked)
-                return
-            if reason is not None:
-                self._log_retry(state, picked, reason)
-            reason = await self._attempt(state, picked)
-            if reason is None:
-                return
+        # Gives an unused retry back, also when a pick is cancelled.
+        with ExitStack() as unsent:
+            while state.outcome is None:
+                if not self._reserve_attempt(state, reason, unsent):
+                    return
+                server = await self._pick(state, reason)
+                if server is None:
+                    return
+                reason = await self._attempt(state, server, unsent)
+                if reason is None:
+                    return
+
+    async def _pick(
+        self,
+        state: RequestState,
+        reason: RetryReason | None,
+    ) -> KnownServer | None:
+        picked = await self._picker.pick(
+            state.request.service,
+            state.tried_server_ids,
+            self._build_pick_options(state, reason),
+        )
+        if isinstance(picked, NotRun):
+            state.attempts -= 1
+            state.record_failure(picked)
+            return None
+        if reason is not None:
+            self._log_retry(state, picked, reason)
+        return picked
 
     def _build_pick_options(
         self, state: RequestState, reason: RetryReason | None
@@ -230,16 +242,24 @@
         self,
         state: RequestState,
         reason: RetryReason | None,
+        unsent: ExitStack,
     ) -> bool:
         """Count an attempt before its server is picked.
 
         A hedge and a retry may pick servers at the same time; if they were
         counted only when they are sent, both could pass the limit.
+
+        :param state: the request.
+        :param reason: why it is sent again; ``None`` for the first attempt.
+        :param unsent: gives the retry back to its budget unless it is sent.
+        :returns: whether the attempt may be made.
         """
         now = self._board.clock()
         if state.deadline - now < TIME_LEFT_MIN_S:
             return False
-        if reason is not None and not self._may_retry(state, reason, now):
+        if reason is not None and not self._may_retry(
+            state, reason, now, unsent
+        ):
             return False
         state.attempts += 1
         return True
@@ -249,6 +269,7 @@
         state: RequestState,
         reason: RetryReason,
         now: float,
+        unsent: ExitStack,
     ) -> bool:
         if state.attempts >= state.route.max_attempts:
             return False
@@ -259,6 +280,7 @@
         if not budget.take(now, len(self._board.entry_ips)):
             self._board.metrics.count('repeat.over_budget')
             return False
+        unsent.callback(budget.give_back, now)
         self._board.metrics.count_retry(reason)
         return True
 
@@ -266,6 +288,7 @@
         self,
         state: RequestState,
         server: KnownServer,
+        unsent: ExitStack,
     ) -> RetryReason | None:
         board = self._board
         load = board.find_load(server)
@@ -279,7 +302,7 @@
             body=state.body,
             deadline=state.deadline,
             response_timeout_s=state.deadline - sent_at,
-            may_send=lambda: self._confirm_send(state, server),
+            may_send=lambda: self._confirm_send(state, server, unsent),
             dialect=PLATFORM_DIALECT,
         )
         result: ForwardResult | None = None
@@ -333,7 +356,12 @@
         if active_requests <= NEARLY_FULL_SHARE * slots:
             self._board.find_processing_time(route).record(processing_s)
 
-    def _confirm_send(self, state: RequestState, server: KnownServer) -> bool:
+    def _confirm_send(
+        self,
+        state: RequestState,
+        server: KnownServer,
+        unsent: ExitStack,
+    ) -> bool:
         # The server may have started to drain while the connection was opened.
         now = self._board.clock()
         servers = self._board.list_servers(state.request.service, now)
@@ -343,6 +371,7 @@
         ):
             return False
         state.possible_runs += 1
+        unsent.pop_all()
         return True
 
     def _record_result(
--- a/copperyard/shared_retry_budget.py
+++ b/copperyard/shared_retry_budget.py
@@ -67,6 +67,19 @@
         self._buckets[-1][1] += 1
         return True
 
+    def give_back(self, taken_at: float) -> None:
+        """Return a retry that was taken out of the budget but never sent.
+
+        After a change of the window it may stay taken, since the retries from
+        before the change can no longer be told apart.
+
+        :param taken_at: when it was taken, ``CLOCK_BOOTTIME`` in seconds.
+        """
+        age = self._bucket_number - int(taken_at / self._bucket_s)
+        if 0 <= age < BUCKETS_PER_WINDOW:
+            bucket = self._buckets[-1 - age]
+            bucket[1] = max(0, bucket[1] - 1)
+
     def find_remaining(self, now: float, entries: int) -> float:
         """Return how many retries may be sent now.
 
--- a/tests/test_dispatching.py
+++ b/tests/test_dispatching.py
@@ -110,6 +110,39 @@
     assert len(pool.server_ids) == 2
 
 
+UNSENT = build_failure(FailureKind.CONNECT_FAILED, is_sent=False)
+
+
+@pytest.mark.parametrize(
+    ('servers', 'pick_s', 'script', 'taken'),
+    [
+        (1, 0, ((0, build_answer(500)),), 0),
+        (2, 0.3, ((0, build_answer()),), 0),
+        (2, 0, ((0, build_answer(500)), (0, UNSENT)), 0),
+        (2, 0, ((0, build_answer(500)), (0, build_answer())), 1),
+        (3, 0, ((0, build_answer(500)), (0, UNSENT), (0, build_answer())), 1),
+    ],
+    ids=['refused pick', 'cancelled pick', 'unsent', 'sent', 'sent later'],
+)
+async def test_budget_pays_only_for_retries_that_are_sent(
+    servers, pick_s, script, taken
+):
+    """Guards against a retry budget used up by retries that no server got.
+
+    The cancelled pick is that of a hedge, when the first attempt is answered.
+    """
+    ids = [f's{number}' for number in range(servers)]
+    board = build_board(*ids, clock=seconds_since_boot)
+    budget = board.find_retry_budget('ledger')
+    budget.ratio = 0
+    before = budget.find_remaining(board.clock(), 1)
+    picker = DelayedPicker(board, pick_s)
+    dispatcher = Dispatcher(board, ScriptedPool(*script), picker)
+    await dispatcher.run(build_request_state(seconds_since_boot))
+    assert before - budget.find_remaining(board.clock(), 1) == taken
+    assert board.metrics.counts_by_name['retry.hedge'] == bool(pick_s)
+
+
 async def test_hedge_beats_a_slow_server():
     """The first server is slowed by a noisy neighbour; the hedge is in time."""
     outcome, pool = await run_request(
--- a/tests/test_shared_retry_budget.py
+++ b/tests/test_shared_retry_budget.py
@@ -1,5 +1,8 @@
 """Retry budget shared by all entries."""
 
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
 from copperyard.shared_retry_budget import SharedRetryBudget
 
 
@@ -37,3 +40,37 @@
     assert taken == 10
     assert not budget.take(105.0, 1)
     assert budget.take(111.0, 1)
+
+
+@settings(derandomize=True, deadline=None)
+@given(
+    st.lists(st.tuples(st.floats(0, 3), st.booleans()), max_size=30),
+    st.sampled_from((2.0, 10.0, 30.0)),
+)
+def test_given_back_retries_are_as_if_never_taken(steps, new_window_s):
+    """Guards against giving back another retry than the one taken.
+
+    Each is given back at the next step, in the same tenth of the window or a
+    later one. After a change of the window, none may be allowed in addition.
+    """
+    budget = SharedRetryBudget(0.0, 14.0, 10.0)
+    reference = SharedRetryBudget(0.0, 14.0, 10.0)
+    now = 100.0
+    unsent_at = []
+    for elapsed_s, is_sent in steps:
+        now += elapsed_s
+        expected = reference.find_remaining(now, 1)
+        assert budget.find_remaining(now, 1) == expected - len(unsent_at)
+        if unsent_at:
+            budget.give_back(unsent_at.pop())
+        assert budget.find_remaining(now, 1) == expected
+        if budget.take(now, 1):
+            if is_sent:
+                reference.take(now, 1)
+            else:
+                unsent_at.append(now)
+    for changed in (budget, reference):
+        changed.change_window(new_window_s, now)
+    if unsent_at:
+        budget.give_back(unsent_at.pop())
+    assert budget.find_remaining(now, 1) <= reference.find_remaining(now, 1)
