Name responses, refusals and blocked signals by one word each

Streamed responses were streams, like those of the log; a refusal while a request is read was a fault, like an unexpected exception; blocked signals were held back.

--- a/copperyard/agent.py
+++ b/copperyard/agent.py
@@ -35,7 +35,7 @@
 from copperyard.relay_controller import fetch_records
 from copperyard.serving import serve_grpc, serve_operator_application
 from copperyard.settings import AgentSettings
-from copperyard.signal_mask import hold_signals
+from copperyard.signal_mask import block_signals
 from copperyard.signals import receive_signals, wait_for_stop
 from copperyard.vm_list_client import VmListClient
 from copperyard.vm_list_controller import follow_vm_list
@@ -184,7 +184,7 @@
 
 def main() -> None:
     """Run ``copperyard-agent`` with the command line of the process."""
-    hold_signals()
+    block_signals()
     defopt.run(_run)
 
 
--- a/copperyard/caller_connections.py
+++ b/copperyard/caller_connections.py
@@ -104,7 +104,7 @@
         self.is_in_body = False
         self.head_started_at = 0.0
         self.wants_continue = False
-        self.fault: RefusalReason | None = None
+        self.refusal: RefusalReason | None = None
         self.complete_requests: deque[ReceivedRequest] = deque()
         self._limits = limits
         self._clock = clock
@@ -121,7 +121,7 @@
         self._request: ReceivedRequest | None = None
 
     def feed(self, content: bytes) -> None:
-        """Parse received bytes and record the first fault."""
+        """Parse received bytes and record the first reason to refuse them."""
         count_before = self._complete_count
         body_bytes_before = self._body_bytes
         was_in_body = self.is_in_body
@@ -131,9 +131,9 @@
             # The request to upgrade is answered without upgrading, and its
             # response closes the connection. Bytes behind it are ignored.
             if self._request is not None:
-                self._record_fault(RefusalReason.BAD_REQUEST)
+                self._record_refusal(RefusalReason.BAD_REQUEST)
         except HttpParserError:
-            self._record_fault(RefusalReason.BAD_REQUEST)
+            self._record_refusal(RefusalReason.BAD_REQUEST)
         # The parser reports a header or trailer field only when it is complete.
         # Counting the received bytes too limits one that never ends.
         if count_before != self._complete_count:
@@ -148,7 +148,7 @@
             max(self._received_head_bytes, self._trailer_bytes)
             > self._limits.head_bytes
         ):
-            self._record_fault(RefusalReason.HEAD_TOO_LARGE)
+            self._record_refusal(RefusalReason.HEAD_TOO_LARGE)
 
     def on_message_begin(self) -> None:
         self.is_in_head = True
@@ -180,7 +180,7 @@
             or not self._is_supported(method, target)
             or not self._has_known_coding()
         ):
-            self._record_fault(RefusalReason.BAD_REQUEST)
+            self._record_refusal(RefusalReason.BAD_REQUEST)
         self._check_content_length()
         self.wants_continue = (b'expect', b'100-continue') in self._headers
         self._request = ReceivedRequest(
@@ -197,7 +197,7 @@
     def on_body(self, part: bytes) -> None:
         self._body_bytes += len(part)
         if self._body_bytes > self._limits.body_bytes:
-            self._record_fault(RefusalReason.BODY_TOO_LARGE)
+            self._record_refusal(RefusalReason.BODY_TOO_LARGE)
         else:
             self._parts.append(part)
 
@@ -205,7 +205,7 @@
         self.is_in_body = False
         self.wants_continue = False
         self._complete_count += 1
-        if self._request is not None and self.fault is None:
+        if self._request is not None and self.refusal is None:
             self._request.body = b''.join(self._parts)
             self.complete_requests.append(self._request)
         self._request = None
@@ -247,16 +247,16 @@
     def _check_content_length(self) -> None:
         length = dict(self._headers).get(b'content-length', b'0')
         if length.isdigit() and int(length) > self._limits.body_bytes:
-            self._record_fault(RefusalReason.BODY_TOO_LARGE)
+            self._record_refusal(RefusalReason.BODY_TOO_LARGE)
 
     def _count_head_bytes(self, size: int) -> None:
         self._parsed_head_bytes += size
         if self._parsed_head_bytes > self._limits.head_bytes:
-            self._record_fault(RefusalReason.HEAD_TOO_LARGE)
+            self._record_refusal(RefusalReason.HEAD_TOO_LARGE)
 
-    def _record_fault(self, fault: RefusalReason) -> None:
-        if self.fault is None:
-            self.fault = fault
+    def _record_refusal(self, fault: RefusalReason) -> None:
+        if self.refusal is None:
+            self.refusal = fault
 
 
 Handler = Callable[[ReceivedRequest], Awaitable[CallerResponse]]
@@ -322,7 +322,7 @@
     async def run(self) -> None:
         """Serve the connection until either side closes it."""
         with ExitStack() as stack:
-            stack.callback(self._close_streams)
+            stack.callback(self._close_responses)
             stack.enter_context(self._scope)
             stack.enter_context(
                 FaultBarrier(self._callbacks.metrics, 'connection')
@@ -331,7 +331,7 @@
                 group.start_soon(self._write_responses, group.cancel_scope)
                 await self._read(group)
 
-    def _close_streams(self) -> None:
+    def _close_responses(self) -> None:
         for pending in self._pending_responses:
             if pending.response is not None and pending.response.stream:
                 pending.response.stream.close()
@@ -353,10 +353,10 @@
         if content:
             reader.feed(content)
         else:
-            reader.fault = RefusalReason.TOO_SLOW
+            reader.refusal = RefusalReason.TOO_SLOW
         await self._start_requests(group)
-        if reader.fault is not None and self._is_reading:
-            self._refuse(reader.fault)
+        if reader.refusal is not None and self._is_reading:
+            self._refuse(reader.refusal)
             self._is_reading = False
 
     async def _send_continue(self) -> None:
@@ -429,9 +429,13 @@
             target=request.target[:LOGGED_TARGET_BYTES_MAX].decode('latin-1'),
         ):
             response = await self._callbacks.handle(request)
-        pending.complete(response or self._build_fault_response(request))
+        pending.complete(
+            response or self._build_internal_error_response(request)
+        )
 
-    def _build_fault_response(self, request: ReceivedRequest) -> CallerResponse:
+    def _build_internal_error_response(
+        self, request: ReceivedRequest
+    ) -> CallerResponse:
         outcome: NotRun | Unknown = NotRun(RefusalReason.INTERNAL_ERROR)
         if request.is_dispatched:
             outcome = Unknown(UnknownReason.INTERNAL_ERROR)
--- a/copperyard/claims.py
+++ b/copperyard/claims.py
@@ -582,15 +582,16 @@
         if is_same and held.state is ClaimState.RUNNING:
             return ClaimVerdict.GRANTED
         if held.state is not ClaimState.RUNNING:
-            if self._may_have_successors:
-                # The retention of a copy there cannot be restarted here.
+            if self._may_have_new_homes:
+                # The new home may hold a copy of the claim, whose retention
+                # cannot be restarted here.
                 return ClaimVerdict.BEHIND
             # The caller is still repeating the id, so restart its retention.
             self._set_state(call.key, held, held.state, now)
         return _VERDICTS_BY_STATE[held.state]
 
     def _grant(self, call: ClaimCall, now: float) -> ClaimVerdict:
-        if self._may_have_successors:
+        if self._may_have_new_homes:
             return ClaimVerdict.BEHIND
         if self._is_closed or self._is_full():
             return ClaimVerdict.UNAVAILABLE
@@ -603,7 +604,7 @@
             self._put(call.key, claim)
 
     @property
-    def _may_have_successors(self) -> bool:
+    def _may_have_new_homes(self) -> bool:
         return self._is_closed and self._has_missed_claims
 
     def _is_full(self) -> bool:
--- a/copperyard/connections.py
+++ b/copperyard/connections.py
@@ -29,8 +29,8 @@
 # than this. A new connection costs 1 ms, less than a duplicated request.
 FRESH_IDLE_MAX_S: Final = 1.0
 IDLE_MAX_S: Final = 15.0
-# Interval between checks of all idle connections for unread bytes. Until the
-# next check, a server can fill the receive buffer of each of them.
+# Minimum interval between checks of all idle connections for unread bytes.
+# Until the next check, a server can fill the receive buffer of each of them.
 UNREAD_CHECK_INTERVAL_S: Final = 0.5
 READ_BUFFER_BYTES: Final = 64 * 1024
 
--- a/copperyard/dispatching.py
+++ b/copperyard/dispatching.py
@@ -116,7 +116,7 @@
             return Unknown(UnknownReason.INTERNAL_ERROR)
         return NotRun(RefusalReason.INTERNAL_ERROR)
 
-    def close_streams(self) -> None:
+    def close_responses(self) -> None:
         """Close the streamed responses that were kept for the caller."""
         for kept in (self.outcome, self.failure):
             if isinstance(kept, StreamedResponse):
@@ -156,7 +156,7 @@
         self._board.find_priority_mix(service).record(state.route.priority, now)
         with ExitStack() as stack:
             # A cancelled call returns no response that the caller could close.
-            stack.callback(state.close_streams)
+            stack.callback(state.close_responses)
             with anyio.move_on_after(state.deadline - now):
                 async with anyio.create_task_group() as group:
                     group.start_soon(self._hedge, state, group)
@@ -189,14 +189,14 @@
         reason: RetryReason | None,
     ) -> None:
         # Gives an unused retry back, also when a pick is cancelled.
-        with ExitStack() as unsent:
+        with ExitStack() as unsent_retry:
             while state.outcome is None:
-                if not self._reserve_attempt(state, reason, unsent):
+                if not self._reserve_attempt(state, reason, unsent_retry):
                     return
                 server = await self._pick(state, reason)
                 if server is None:
                     return
-                reason = await self._attempt(state, server, unsent)
+                reason = await self._attempt(state, server, unsent_retry)
                 if reason is None:
                     return
 
@@ -243,7 +243,7 @@
         self,
         state: RequestState,
         reason: RetryReason | None,
-        unsent: ExitStack,
+        unsent_retry: ExitStack,
     ) -> bool:
         """Count an attempt before its server is picked.
 
@@ -252,14 +252,14 @@
 
         :param state: the request.
         :param reason: why it is sent again; ``None`` for the first attempt.
-        :param unsent: gives the retry back to its budget unless it is sent.
+        :param unsent_retry: returns the retry to its budget when it is closed.
         :returns: whether the attempt may be made.
         """
         now = self._board.clock()
         if state.deadline - now < TIME_LEFT_MIN_S:
             return False
         if reason is not None and not self._may_retry(
-            state, reason, now, unsent
+            state, reason, now, unsent_retry
         ):
             return False
         state.attempts += 1
@@ -270,7 +270,7 @@
         state: RequestState,
         reason: RetryReason,
         now: float,
-        unsent: ExitStack,
+        unsent_retry: ExitStack,
     ) -> bool:
         if state.attempts >= state.route.max_attempts:
             return False
@@ -281,7 +281,7 @@
         if not budget.take(now, len(self._board.entry_ips)):
             self._board.metrics.count('repeat.over_budget')
             return False
-        unsent.callback(budget.give_back, now)
+        unsent_retry.callback(budget.give_back, now)
         self._board.metrics.count_retry(reason)
         return True
 
@@ -289,7 +289,7 @@
         self,
         state: RequestState,
         server: KnownServer,
-        unsent: ExitStack,
+        unsent_retry: ExitStack,
     ) -> RetryReason | None:
         board = self._board
         load = board.find_load(server)
@@ -303,7 +303,7 @@
             body=state.body,
             deadline=state.deadline,
             response_timeout_s=state.deadline - sent_at,
-            may_send=lambda: self._confirm_send(state, server, unsent),
+            may_send=lambda: self._confirm_send(state, server, unsent_retry),
             dialect=PLATFORM_DIALECT,
         )
         result: ForwardResult | None = None
@@ -361,7 +361,7 @@
         self,
         state: RequestState,
         server: KnownServer,
-        unsent: ExitStack,
+        unsent_retry: ExitStack,
     ) -> bool:
         # The server may have started to drain while the connection was opened.
         now = self._board.clock()
@@ -372,7 +372,7 @@
         ):
             return False
         state.possible_runs += 1
-        unsent.pop_all()
+        unsent_retry.pop_all()
         return True
 
     def _record_result(
--- a/copperyard/entry.py
+++ b/copperyard/entry.py
@@ -40,7 +40,7 @@
 )
 from copperyard.settings import split_address
 from copperyard.settings_reloader import SettingsReloader
-from copperyard.signal_mask import hold_signals
+from copperyard.signal_mask import block_signals
 from copperyard.signals import receive_signals
 from copperyard.store_poller import StorePoller
 from copperyard.store_replica import StoreReplica
@@ -136,7 +136,7 @@
             self._pool,
         )
         controllers_by_name = {
-            'receive': self._peers.receive,
+            'datagrams': self._peers.receive,
             'heartbeats': self._peers.run_heartbeats,
             'load_updates': self._peers.run_load_updates,
             'operator_records': poller.poll_operator_records,
@@ -210,7 +210,7 @@
         while True:
             await anyio.sleep(EXPIRY_CHECK_INTERVAL_S)
             self._pool.close_expired_idle(self.board.clock())
-            self._pool.close_expired_streams(self.board.clock())
+            self._pool.close_expired_responses(self.board.clock())
 
     async def _handle_signals(
         self, signals: AsyncIterator[signal.Signals]
@@ -253,7 +253,7 @@
 
 def main() -> None:
     """Run the entry process with the settings file of the platform."""
-    hold_signals()
+    block_signals()
     path = Path(os.environ.get(SETTINGS_VARIABLE, ''))
     loaded = load_entry_settings(path)
     if isinstance(loaded, Failure):
--- a/copperyard/entry_api.py
+++ b/copperyard/entry_api.py
@@ -44,8 +44,7 @@
 LOCAL_ENTRIES_MIN: Final = 2
 # An entry that has just started receives the configuration soon.
 NOT_READY_RETRY_AFTER_S: Final = 0.2
-# Another entry can serve the request at once; the time only spreads the callers
-# of an entry that leaves.
+# Another entry can serve the request at once.
 LEAVING_RETRY_AFTER_S: Final = 0.02
 # Time reserved for the response to reach the caller before the deadline.
 RESPONSE_MARGIN_S: Final = 0.01
@@ -111,7 +110,7 @@
                 headers_by_name, NotRun(RefusalReason.UNKNOWN_SERVICE)
             )
         left_s = _read_left_s(headers_by_name.get(DEADLINE_MS), route.timeout_s)
-        if left_s is None or not _is_identified(received):
+        if left_s is None or not _has_unique_headers(received):
             return self._refuse(
                 headers_by_name, NotRun(RefusalReason.BAD_REQUEST)
             )
@@ -311,7 +310,7 @@
     return tuple(pair for pair in received.headers if pair[0] not in stripped)
 
 
-def _is_identified(received: ReceivedRequest) -> bool:
+def _has_unique_headers(received: ReceivedRequest) -> bool:
     """Return whether a request has one id and at most one deadline."""
     ids = [value for name, value in received.headers if name == REQUEST_ID]
     deadlines = [name for name, _ in received.headers if name == DEADLINE_MS]
--- a/copperyard/entry_messages.py
+++ b/copperyard/entry_messages.py
@@ -13,7 +13,7 @@
     ServerChange,
     ServerGone,
     ServerReport,
-    has_valid_address,
+    is_addressable,
 )
 from copperyard.settings import is_ipv4
 
@@ -92,7 +92,7 @@
     age_s: float
 
 
-def is_plausible(report: LoadReport) -> bool:
+def is_in_range(report: LoadReport) -> bool:
     """Return whether all numbers of a load report are in range.
 
     :param report: a load report, received or about to be sent.
@@ -198,7 +198,7 @@
         snapshot = _SNAPSHOT_DECODER.decode(content)
     except (msgspec.DecodeError, RecursionError):
         return None
-    return snapshot if all(map(has_valid_address, snapshot.servers)) else None
+    return snapshot if all(map(is_addressable, snapshot.servers)) else None
 
 
 def _is_consistent(message: Datagram) -> bool:
@@ -214,4 +214,4 @@
 def _is_usable(change: ServerChange, end: int) -> bool:
     if change.offset >= end:
         return False
-    return isinstance(change, ServerGone) or has_valid_address(change)
+    return isinstance(change, ServerGone) or is_addressable(change)
--- a/copperyard/entry_peers.py
+++ b/copperyard/entry_peers.py
@@ -21,7 +21,7 @@
     ServerUpdate,
     decode_datagram,
     encode_message,
-    is_plausible,
+    is_in_range,
 )
 from copperyard.fault_barriers import FaultBarrier
 from copperyard.logs import log_event
@@ -135,8 +135,8 @@
         new_ips = [ip for ip in ips if ip not in known_ips]
         for ip in new_ips:
             if not is_ipv4(ip):
-                self._board.metrics.count('entry_ip.damaged')
-                log_event('entry_ip_damaged', entry=ip)
+                self._board.metrics.count('entry_ip.invalid')
+                log_event('entry_ip_invalid', entry=ip)
         new_ips = list(filter(is_ipv4, new_ips))
         if not new_ips:
             return
@@ -235,7 +235,7 @@
             )
             for server_id, (sample, sampled_at) in board.unsent_samples.items()
         )
-        valid_reports = tuple(filter(self._is_valid_report, reports))
+        valid_reports = tuple(filter(self._check_report, reports))
         sent_ids = tuple(board.unsent_sends)
         outcomes = _count_outcomes(board.unsent_outcomes)
         board.unsent_samples.clear()
@@ -280,7 +280,7 @@
             )
 
     def _apply_load_update(self, update: LoadUpdate, now: float) -> None:
-        for report in filter(self._is_valid_report, update.reports):
+        for report in filter(self._check_report, update.reports):
             load = self._board.loads_by_id.get(report.server_id)
             if load is not None:
                 sample = LoadSample(
@@ -297,9 +297,9 @@
             if load is not None:
                 load.record_outcomes(counts.successes, counts.failures, now)
 
-    def _is_valid_report(self, report: LoadReport) -> bool:
-        """Return whether a load report is in range; log it otherwise."""
-        if is_plausible(report):
+    def _check_report(self, report: LoadReport) -> bool:
+        """Return whether a load report is in range; count it otherwise."""
+        if is_in_range(report):
             return True
         self._board.metrics.count('load_report.damaged')
         log_event('load_report_damaged', server=report.server_id)
--- a/copperyard/exchanges.py
+++ b/copperyard/exchanges.py
@@ -462,7 +462,7 @@
     ) -> None:
         super().__init__(clock, on_reset)
         # May contain responses that were closed since the last check.
-        self._streams: list[StreamedResponse] = []
+        self._streamed_responses: list[StreamedResponse] = []
 
     async def forward(
         self,
@@ -486,12 +486,12 @@
                 result = await exchange.run()
         finally:
             if isinstance(result, StreamedResponse):
-                self._streams.append(result)
+                self._streamed_responses.append(result)
             else:
                 exchange.close()
         return result or exchange.build_timeout_failure()
 
-    def close_expired_streams(self, now: float) -> None:
+    def close_expired_responses(self, now: float) -> None:
         """Close streamed responses whose deadline has passed.
 
         A deadline only ends a read. A response whose caller does not read, or
@@ -499,11 +499,17 @@
 
         :param now: ``CLOCK_BOOTTIME`` in seconds.
         """
-        opened = [stream for stream in self._streams if not stream.is_closed]
-        self._streams = [stream for stream in opened if now < stream.deadline]
+        opened = [
+            stream
+            for stream in self._streamed_responses
+            if not stream.is_closed
+        ]
+        self._streamed_responses = [
+            stream for stream in opened if now < stream.deadline
+        ]
         for stream in opened:
             if now >= stream.deadline:
-                log_event('stream_expired', server=stream.server_id)
+                log_event('response_expired', server=stream.server_id)
                 stream.close()
 
 
--- a/copperyard/fault_barriers.py
+++ b/copperyard/fault_barriers.py
@@ -17,9 +17,9 @@
 class FaultBarrier:
     """Context manager that keeps an exception from ending the process.
 
-    Failures that are expected are outcomes. Any other exception in the work for
-    one request, connection, probe or message ends only that work; it is logged
-    with its traceback and counted. Cancellation passes.
+    Failures that are expected are outcomes. Any other exception inside the
+    context ends only the work in it; it is logged with its traceback and
+    counted. Cancellation passes.
 
     :param metrics: counters of the process.
     :param activity: what the exception ends, such as ``'request'``.
--- a/copperyard/feed_controller.py
+++ b/copperyard/feed_controller.py
@@ -120,7 +120,7 @@
             self._loans.expire(now)
             self._slots.recheck_queue()
             self._board.pool.close_expired_idle(now)
-            self._board.pool.close_expired_streams(now)
+            self._board.pool.close_expired_responses(now)
             is_idle = not self._slots.has_waiting
             await anyio.sleep(
                 IDLE_CHECK_INTERVAL_S if is_idle else CHECK_INTERVAL_S
--- a/copperyard/launcher.py
+++ b/copperyard/launcher.py
@@ -1,4 +1,4 @@
-"""Starts a program with its signals held back.
+"""Starts a program with its signals blocked.
 
 Importing the modules of a program takes a few tenths of a second, in which a
 signal would end the process.
@@ -7,7 +7,7 @@
 import sys
 from importlib import import_module
 
-from copperyard.signal_mask import hold_signals
+from copperyard.signal_mask import block_signals
 
 
 def run_entry() -> None:
@@ -26,7 +26,7 @@
 
 
 def _run(program: str) -> None:
-    hold_signals()
+    block_signals()
     import_module(f'copperyard.{program}').main()
 
 
--- a/copperyard/limits.py
+++ b/copperyard/limits.py
@@ -263,7 +263,7 @@
         return self._round_number
 
     def permits_probe(self, in_flight: int, now: float) -> bool:
-        """Whether a load probe may be sent in addition to the requests.
+        """Return whether a load probe may be sent in addition to the requests.
 
         A probe occupies a slot of the server. A warm server queues it if
         needed; a cold one may fail. A limit closed for requests permits
@@ -322,7 +322,7 @@
             self._takeover_checked_at = now
             self._update_limit(now)
         elif self._is_takeover_check_due(now):
-            self._check_takeover(report.busy - in_flight, now)
+            self._update_takeover_count(report.busy - in_flight, now)
         elif self._has_no_effect(report):
             return
         if report.state is LoadState.DRAINING or not report.slots:
@@ -339,7 +339,7 @@
         next_check_at = self._takeover_checked_at + TAKEOVER_BUSY_S
         return self._takeover_busy > 0 and now >= next_check_at
 
-    def _check_takeover(self, foreign_busy: int, now: float) -> None:
+    def _update_takeover_count(self, foreign_busy: int, now: float) -> None:
         # Only one report counts in each period: the lowest of several may have
         # been sent before requests of this proxy arrived at the server.
         self._takeover_checked_at = now
@@ -440,14 +440,14 @@
             limit = min(limit, self._constraints.slot_bound)
         if self._authority_level is AuthorityLevel.REDUCED:
             limit = min(limit, self._constraints.slots // 2)
-        if self._is_takeover_checked(now):
+        if self._has_recent_takeover_count(now):
             # The bound for silent past owners covers their requests too.
             limit = min(limit, self._constraints.slots - self._takeover_busy)
         self.limit = (
             0 if self._is_closed() else max(limit - self._count_foreign(now), 0)
         )
 
-    def _is_takeover_checked(self, now: float) -> bool:
+    def _has_recent_takeover_count(self, now: float) -> bool:
         """Return whether the count of a past owner's requests is recent."""
         return (
             self._takeover_busy_until
--- a/copperyard/load_probing.py
+++ b/copperyard/load_probing.py
@@ -114,7 +114,7 @@
                 return
             case StreamedResponse():
                 result.close()
-                self._record_failure(server, 'body too large')
+                self._record_failure(server, 'body_too_large')
                 return
         if read_server_id(result.headers) != server.report.server_id:
             # The address has been reused by another server.
--- a/copperyard/outcomes.py
+++ b/copperyard/outcomes.py
@@ -17,7 +17,8 @@
     ``LEAVING``: the proxy accepts no new requests.
     ``CLAIM_UNAVAILABLE``: the home of the request id, which is the member that
     permits its one run (see ``claims``), cannot do so now.
-    ``INTERNAL_ERROR``: an unexpected exception before anything was sent.
+    ``INTERNAL_ERROR``: an unexpected exception in the entry before anything was
+    sent.
     """
 
     BAD_REQUEST = 'bad_request'
@@ -46,7 +47,7 @@
     ``REPEAT_RUNNING``, ``REPEAT_ANSWERED``, ``REPEAT_UNKNOWN``: an earlier
     request with the same id is running, was answered or has an unknown
     outcome.
-    ``INTERNAL_ERROR``: an unexpected exception after the request was sent.
+    ``INTERNAL_ERROR``: an unexpected exception; the request may have been sent.
     """
 
     ANSWER_LOST = 'answer_lost'
@@ -85,12 +86,12 @@
     CONNECT_FAILED = 'connect_failed'
     # The connection was reset, or the response was truncated.
     RESET = 'reset'
-    # The response did not arrive in time; the connection was closed.
+    # No byte of the response arrived in time; the connection was closed.
     SILENT = 'silent'
     # Cancelled by the proxy: the other attempt of a hedged request finished
     # first, the caller disconnected or the deadline passed.
     CANCELLED = 'cancelled'
-    # No byte of the request was sent.
+    # No byte of the request was sent, or the slot was held for a load probe.
     UNUSED = 'unused'
 
 
--- a/copperyard/platform/server_registrations.py
+++ b/copperyard/platform/server_registrations.py
@@ -12,7 +12,7 @@
     ServerGone,
     ServerReport,
     Slots,
-    has_valid_address,
+    is_addressable,
 )
 
 _DRAINING: Final = 'draining'
@@ -72,7 +72,7 @@
         offset=offset,
     )
     is_valid = registration.status.state in _STATES
-    if is_valid and has_valid_address(report):
+    if is_valid and is_addressable(report):
         return report
     return ServerGone(key, offset)
 
--- a/copperyard/platform_http.py
+++ b/copperyard/platform_http.py
@@ -10,7 +10,7 @@
 # Waiting for a connection, connecting, writing and reading; each may take the
 # timeout of a call.
 CALL_PHASES: Final = 4
-# The largest response is a batch of 500 log records of up to 64 KB.
+# Twice the largest response, a batch of 500 log records of up to 64 KB.
 RESPONSE_MAX_BYTES: Final = 64 * 1024 * 1024
 _HEADERS: Final = (('accept', 'application/json'),)
 
--- a/copperyard/probe_controller.py
+++ b/copperyard/probe_controller.py
@@ -120,7 +120,7 @@
             _record_failure(board, server_id, str(kind))
         case StreamedResponse():
             result.close()
-            _record_failure(board, server_id, 'body too large')
+            _record_failure(board, server_id, 'body_too_large')
 
 
 def _record_failure(board: ProxyBoard, server_id: str, reason: str) -> None:
--- a/copperyard/proxy.py
+++ b/copperyard/proxy.py
@@ -32,7 +32,7 @@
 from copperyard.routing import Router
 from copperyard.serving import serve_application, serve_grpc
 from copperyard.settings import ProxySettings
-from copperyard.signal_mask import hold_signals
+from copperyard.signal_mask import block_signals
 from copperyard.signals import receive_signals, wait_for_stop
 from copperyard.slots import SlotAllocator
 
@@ -222,7 +222,7 @@
 
 def main() -> None:
     """Run ``copperyard-proxy`` with the command line of the process."""
-    hold_signals()
+    block_signals()
     defopt.run(_run)
 
 
--- a/copperyard/server_table.py
+++ b/copperyard/server_table.py
@@ -77,7 +77,7 @@
 ServerChange: TypeAlias = ServerReport | ServerGone
 
 
-def has_valid_address(report: ServerReport) -> bool:
+def is_addressable(report: ServerReport) -> bool:
     """Return whether requests can be sent with the id and address of a report.
 
     :param report: a report that has been decoded.
--- a/copperyard/signal_mask.py
+++ b/copperyard/signal_mask.py
@@ -1,4 +1,4 @@
-"""Holds back the signals of a program until it can handle them."""
+"""Blocks the signals of a program until it can handle them."""
 
 import signal
 from typing import Final
@@ -7,6 +7,6 @@
 HANDLED_SIGNALS: Final = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
 
 
-def hold_signals() -> None:
+def block_signals() -> None:
     """Keep signals pending until ``receive_signals`` is entered."""
     signal.pthread_sigmask(signal.SIG_BLOCK, HANDLED_SIGNALS)
--- a/copperyard/signals.py
+++ b/copperyard/signals.py
@@ -12,11 +12,11 @@
 
 @contextmanager
 def receive_signals() -> Iterator[AsyncIterator[signal.Signals]]:
-    """Receive signals, including those that were held back before.
+    """Receive signals, including those that were blocked before.
 
     A program keeps the context open until it has shut down, because a signal
-    without a handler would end it at once. If the signals were held back
-    before, they are ignored from the exit on.
+    without a handler would end it at once. If the signals were blocked before,
+    they are ignored from the exit on.
     """
     mask = signal.pthread_sigmask(signal.SIG_BLOCK, ())
     with ExitStack() as stack:
@@ -31,7 +31,7 @@
 
 
 def _ignore_signals() -> None:
-    # Threads that were started meanwhile do not hold the signals back.
+    # Threads that were started meanwhile do not block the signals.
     for signal_number in HANDLED_SIGNALS:
         signal.signal(signal_number, signal.SIG_IGN)
 
--- a/copperyard/store_replica.py
+++ b/copperyard/store_replica.py
@@ -130,7 +130,7 @@
             self.has_gap = True
             return
         if update.end > self.servers_end + UPDATE_OFFSETS_MAX:
-            self._board.metrics.count('news.damaged')
+            self._board.metrics.count('server_update.damaged')
             log_event('server_update_damaged', end=update.end)
             return
         read_at = now - update.age_s
--- a/scripts/measure_routing.py
+++ b/scripts/measure_routing.py
@@ -656,7 +656,7 @@
             self.simulation.clock.schedule(
                 self.simulation.one_way_latency_s(proxy.number, server),
                 partial(
-                    proxy.router.handle_idle_reset,
+                    proxy.router.handle_connection_failure,
                     server.server_id,
                     self.simulation.clock.now,
                 ),
--- a/tests/test_endless_bytes.py
+++ b/tests/test_endless_bytes.py
@@ -159,7 +159,7 @@
         while True:
             await anyio.sleep(0.05)
             pool.close_expired_idle(pool.clock())
-            pool.close_expired_streams(pool.clock())
+            pool.close_expired_responses(pool.clock())
 
     with BackendPool() as pool:
         async with anyio.create_task_group() as group:
--- a/tests/test_entry_messages.py
+++ b/tests/test_entry_messages.py
@@ -187,7 +187,7 @@
     board, _, peers, sent = build_entry()
     peers.contact(('host', '1.2.3.4\0', 'x' * 300, '::1', '127.0.0.2'))
     assert [ip for ip, _ in sent] == ['127.0.0.2']
-    assert board.metrics.counts_by_name['entry_ip.damaged'] == 4
+    assert board.metrics.counts_by_name['entry_ip.invalid'] == 4
 
 
 def test_update_far_beyond_the_log_is_ignored():
@@ -196,4 +196,4 @@
     update = ServerUpdate(0, 2**62, 0.0, ())
     peers._handle(decode_datagram(encode_message(update)))
     assert replica.servers_end == 5
-    assert board.metrics.counts_by_name['news.damaged'] == 1
+    assert board.metrics.counts_by_name['server_update.damaged'] == 1
--- a/tests/test_late_drain.py
+++ b/tests/test_late_drain.py
@@ -39,7 +39,7 @@
 async def test_drain_runs_no_request_that_it_cannot_finish(tmp_path):
     """Guards against a request that is accepted at the end of a drain and cut.
 
-    The accept phase is over after 55 % of the grace time, 3 s, but a request
+    The accept phase is over after half of the grace time, 3 s, but a request
     in flight keeps the process, and its listeners, up to 90 %.
     """
     server = PlatformServerStandIn('s1', work_s=2.5)
--- a/tests/test_signal_exit.py
+++ b/tests/test_signal_exit.py
@@ -12,7 +12,7 @@
 PROGRAM = """
 import os, signal, time
 import anyio
-from copperyard.signal_mask import hold_signals
+from copperyard.signal_mask import block_signals
 from copperyard.signals import receive_signals
 
 async def run():
@@ -22,7 +22,7 @@
     os.kill(os.getpid(), signal.{signal})
     time.sleep(0.1)
 
-hold_signals()
+block_signals()
 anyio.run(run)
 """
 
