Select routes by the literal path again

The users' page selects the route whose prefix begins the path and forwards the path unchanged. With dot segments resolved first, /a/../none/ was refused with a final 404 though a route allows it, and /a/../b/x was run by the service of another route.

--- a/copperyard/routes.py
+++ b/copperyard/routes.py
@@ -129,11 +129,9 @@
         """Return the route with the longest prefix that matches the path.
 
         :param host: host name in lower case, without a port.
-        :param path: path without query. Dot segments are resolved first, as
-            the server would do.
+        :param path: path without query.
         :returns: the route, or ``None`` if no prefix matches.
         """
-        path = _remove_dot_segments(path)
         routes_by_prefix = self._routes_by_prefix_by_host.get(host)
         if routes_by_prefix is None:
             return None
@@ -144,20 +142,3 @@
                 return route
             end = path.rfind('/', 0, end)
         return None
-
-
-def _remove_dot_segments(path: str) -> str:
-    """Return a path without ``.`` and ``..`` segments (RFC 3986, 5.2.4)."""
-    if '/.' not in path and '%2' not in path:
-        return path
-    kept: list[str] = []
-    plain = ''
-    for segment in path.split('/')[1:]:
-        plain = segment.lower().replace('%2e', '.')
-        if plain == '..':
-            kept = kept[:-1]
-        elif plain != '.':
-            kept.append(segment)
-    if plain in {'.', '..'}:
-        kept.append('')
-    return '/'.join(('', *kept))
