Send on what arrived from another entry during a read

A backend server that drained or was removed could stay in use at one entry for good. Two entries read the store at the same time; the update of the first reached the second during its read, so the second left the change out of its own update as not new, but still stated that the update was complete from the start of its read. A third entry that had lost the first datagram applied it, advanced its offset past the change and found no gap; later reports repeat the state and are not sent on.

If another entry's update arrives during a read, the update now contains all that was read.

--- a/copperyard/store_replica.py
+++ b/copperyard/store_replica.py
@@ -100,6 +100,10 @@
         table = self._board.server_table
         table.record_read(read_at, now)
         changes = self._apply_changes(batch.changes, now)
+        if batch.start != self.servers_end:
+            # Another entry's update arrived during this read. What it changed
+            # is not new here, but belongs into an update from this start on.
+            changes = batch.changes
         if batch.is_full:
             present_ids = {change.server_id for change in batch.changes}
             table.retain(present_ids, batch.end, now)
--- a/tests/test_store_replica.py
+++ b/tests/test_store_replica.py
@@ -143,6 +143,31 @@
     assert other.servers_end == 9
 
 
+def test_update_contains_what_arrived_during_its_read():
+    """Guards against a draining server that some entry never hears of.
+
+    Two entries read the store at the same time. A third one has lost the update
+    of the first, which reaches the second one during its read.
+    """
+    first, second, third = (build_replica() for _ in range(3))
+    full = ServerBatch(
+        start=0, end=4, changes=(build_report('s'),), is_full=True
+    )
+    for replica, _ in (first, second, third):
+        replica.apply_server_batch(full, 1.0, 1.0)
+    draining = build_report('s', sequence=2, offset=7, is_draining=True)
+    first[0].apply_server_batch(
+        ServerBatch(start=4, end=8, changes=(draining,)), 2.0, 2.0
+    )
+    second[0].apply_server_update(first[0].build_server_update(2.1), 2.1)
+    second[0].apply_server_batch(
+        ServerBatch(start=4, end=9, changes=(draining,)), 2.0, 2.2
+    )
+    third[0].apply_server_update(second[0].build_server_update(2.3), 2.3)
+    report = third[1].server_table.servers_by_id['s'].report
+    assert third[0].has_gap or report.is_draining
+
+
 @pytest.mark.parametrize('seed', range(200))
 def test_random_reads_and_updates_converge_and_never_revert(seed):
     """Guards against changes that are lost or reverted.
