--- a/copperyard/store_replica.py
+++ b/copperyard/store_replica.py
@@ -100,6 +100,10 @@
         table = self._board.server_table
         table.record_read(read_at, now)
         changes = self._apply_changes(batch.changes, now)
+        if batch.start != self.servers_end:
+            # Another entry's update arrived during this read. What it changed
+            # is not new here, but belongs into an update from this start on.
+            changes = batch.changes
         if batch.is_full:
             present_ids = {change.server_id for change in batch.changes}
             table.retain(present_ids, batch.end, now)
@@ -130,7 +134,7 @@
             self.has_gap = True
             return
         if update.end > self.servers_end + UPDATE_OFFSETS_MAX:
-            self._board.metrics.count('news.damaged')
+            self._board.metrics.count('server_update.damaged')
             log_event('server_update_damaged', end=update.end)
             return
         read_at = now - update.age_s
