--- a/tests/scenarios/checker.py
+++ b/tests/scenarios/checker.py
@@ -14,6 +14,7 @@
     ColdReport,
     EntryDisruption,
     History,
+    NamedLimit,
     Overload,
     PlannedStop,
     Run,
@@ -27,6 +28,12 @@
 MINUTE_S: Final = 60.0
 #: Allowance for a response to travel from a backend server to the proxy.
 RESPONSE_TRANSIT_S: Final = 0.1
+#: The users' rule on named limits: from some seconds after a server first named
+#: one, each window may contain this share of what it allows, and some more.
+LIMIT_NOTICE_S: Final = 3.0
+LIMIT_WINDOW_S: Final = 4.0
+LIMIT_TOLERANCE: Final = 1.5
+LIMIT_SLACK: Final = 5
 #: Refusals without a retry time, because the same request can never succeed.
 _PERMANENT_REASONS: Final = frozenset(
     ('bad_request', 'unknown_service', 'body_too_large'),
@@ -164,6 +171,25 @@
                 )
 
 
+def check_named_limits(history: History, _: Expectation) -> Iterator[str]:
+    """Check that servers get hardly more requests than the limit they name."""
+    for limit in _select(history, NamedLimit):
+        allowed = LIMIT_TOLERANCE * limit.rate * LIMIT_WINDOW_S + LIMIT_SLACK
+        starts = sorted(
+            run.started
+            for run in _select(history, Run)
+            if run.server == limit.server
+            and limit.since + LIMIT_NOTICE_S <= run.started < limit.until
+        )
+        for index, start in enumerate(starts):
+            count = sum(at < start + LIMIT_WINDOW_S for at in starts[index:])
+            if count > allowed:
+                yield (
+                    f'{count} requests within {LIMIT_WINDOW_S} s from {start}, '
+                    f'allowed {allowed}: {limit}'
+                )
+
+
 def check_probe_budget(history: History, _: Expectation) -> Iterator[str]:
     """Check that no minute has more probes of a server than its budget."""
     for server, samples in _group_samples(history).items():
@@ -361,6 +387,7 @@
     'own_answer': check_own_answer,
     'cold_start': check_cold_start,
     'cold_rate': check_cold_rate,
+    'named_limits': check_named_limits,
     'probe_budget': check_probe_budget,
     'domain_quiet': check_no_new_work,
     'server_quiet': check_no_new_work,
--- a/tests/scenarios/history.py
+++ b/tests/scenarios/history.py
@@ -105,6 +105,19 @@
     at: float
 
 
+@dataclass(frozen=True)
+class NamedLimit:
+    """A backend server names a limit in its responses.
+
+    :param rate: requests per second that it takes from all entries together.
+    """
+
+    server: int
+    rate: float
+    since: float
+    until: float
+
+
 @dataclass(frozen=True)
 class Withdrawal:
     """A failure domain or a backend server is withdrawn from service.
--- a/tests/scenarios/language.py
+++ b/tests/scenarios/language.py
@@ -27,12 +27,13 @@
 _LIST_RULES: Final = frozenset(('domains', 'operators'))
 _FAULT_RULES: Final = frozenset(
     ('kill', 'freeze', 'stop', 'reload', 'restart', 'cut', 'behave')
-    + ('leave', 'outage', 'lose', 'lag', 'change', 'race'),
+    + ('name_limit', 'leave', 'outage', 'lose', 'lag', 'change', 'race'),
 )
 _PROPERTY_RULES: Final = _DEFAULT_BOUNDS_S.keys() | {
     *('at_most_once', 'truthful', 'own_answer', 'cold_start', 'served'),
     *(
         'cold_rate',
+        'named_limits',
         'probe_budget',
         'stop_cuts_nothing',
         'never_reverts',
@@ -101,6 +102,7 @@
     :param kind: name of the sentence's rule in the grammar.
     :param at: seconds after the load started.
     :param span: duration in seconds.
+    :param rate: requests per second.
     """
 
     kind: str
@@ -112,6 +114,7 @@
     mode: str = ''
     span: float = 0.0
     count: int = 0
+    rate: int = 0
     domain: str = ''
     operators: tuple[str, ...] = ()
     direction: str = 'takes out'
--- a/tests/scenarios/platform_harness.py
+++ b/tests/scenarios/platform_harness.py
@@ -13,6 +13,7 @@
     BecameCold,
     EntryDisruption,
     History,
+    NamedLimit,
     PlannedStop,
     Run,
     ServerDeclaration,
@@ -126,6 +127,8 @@
                 )
             case 'behave':
                 await self._change_behaviour(platform, fault)
+            case 'name_limit':
+                await self._name_limit(fault)
             case 'leave':
                 self._put_server_registration(
                     platform, fault.server, sequence=9, state='draining'
@@ -205,6 +208,18 @@
             server.is_silent = server.sheds = False
             server.raw_responses = []
 
+    async def _name_limit(self, fault: Fault) -> None:
+        server = self.servers[fault.server]
+        started_at = seconds_since_boot()
+        self.events.append(
+            NamedLimit(
+                fault.server, fault.rate, started_at, started_at + fault.span
+            )
+        )
+        server.named_limit = str(fault.rate)
+        await asyncio.sleep(fault.span)
+        server.named_limit = ''
+
     def _put_server_registration(
         self, platform: Platform, number: int, **changes: object
     ) -> None:
--- a/tests/standins/platform.py
+++ b/tests/standins/platform.py
@@ -241,6 +241,7 @@
         fourth number of the load report.
     :ivar cold_ms: remaining warm-up time that health checks report; 0 for a
         warm server.
+    :ivar named_limit: requests per second named in responses; empty for none.
     :ivar sheds: whether requests are refused with a 503.
     :ivar is_silent: whether requests are read but never get a response.
     :ivar runs: start, end and coldness of each executed request.
@@ -256,6 +257,7 @@
         self.work_s = work_s
         self.slowness = slowness
         self.cold_ms = 0
+        self.named_limit = ''
         self.sheds = False
         self.is_silent = False
         self.runs = []
@@ -310,6 +312,8 @@
             'X-Response-Signature': f'sig.{self.server_id}',
             'X-Backend-Load': load,
         }
+        if self.named_limit:
+            headers['Server-Limit'] = self.named_limit
         return Response(200, headers, f'ran {request_id}'.encode())
 
 
--- a/tests/test_checker.py
+++ b/tests/test_checker.py
@@ -14,6 +14,7 @@
     ColdReport,
     EntryDisruption,
     History,
+    NamedLimit,
     Overload,
     PlannedStop,
     Run,
@@ -60,6 +61,14 @@
     )
 
 
+def _runs_at(first, count):
+    """Return runs that start every 0.1 s from a time on."""
+    return tuple(
+        _run(request_id=f'r{number}', started=first + number / 10)
+        for number in range(count)
+    )
+
+
 def _probe_samples(*counts, gap=5.0):
     return tuple(
         Sample(server=1, at=10.0 + index * gap, probes=count)
@@ -147,6 +156,11 @@
         'cold_rate',
         *_cold_runs((10.0, 10.1), (10.5, 10.6), (10.9, 11.0)),
     ),
+    'twelve requests in 4 s with a limit of 1 a second': (
+        'named_limits',
+        NamedLimit(1, 1.0, 10.0, 20.0),
+        *_runs_at(13.1, 12),
+    ),
     'cold server overloaded without a cold start': (
         'cold_start',
         *_overloads(10.5),
@@ -341,6 +355,26 @@
         'cold_rate',
         *_cold_runs((10.0, 10.1), (10.5, 10.6), (11.1, 11.2)),
     ),
+    'eleven requests in 4 s with a limit of 1 a second': (
+        'named_limits',
+        NamedLimit(1, 1.0, 10.0, 20.0),
+        *_runs_at(13.1, 11),
+    ),
+    'many requests soon after a limit was first named': (
+        'named_limits',
+        NamedLimit(1, 1.0, 10.0, 20.0),
+        *_runs_at(10.0, 30),
+    ),
+    'many requests after the limit ended': (
+        'named_limits',
+        NamedLimit(1, 1.0, 10.0, 14.0),
+        *_runs_at(14.0, 30),
+    ),
+    'many requests to a server without a limit': (
+        'named_limits',
+        NamedLimit(2, 1.0, 10.0, 20.0),
+        *_runs_at(14.0, 30),
+    ),
     'one overload before a response reported cold': (
         'cold_start',
         BecameCold(1, 10.5),
--- a/tests/test_scenario_language.py
+++ b/tests/test_scenario_language.py
@@ -87,6 +87,10 @@
             'cut entry=3 side=log and peers span=3.0',
         ),
         ('backend server 5 becomes cold', 'behave server=5 mode=cold'),
+        (
+            'backend server 5 names a limit of 3 requests per second for 9s',
+            'name_limit server=5 span=9.0 rate=3',
+        ),
         (
             'backend server 5 becomes fail-fast for 2s',
             'behave server=5 mode=fail-fast span=2.0',
