Keep the rate limits that backend servers name, over all entries together

Callers saw late and failed answers of these servers.

Cause: no module read the header. Class: a fact that a server states in its responses is not read, or is kept by the entry that heard it alone, while the rule counts the requests of all entries.

Change: every response, refusal and health check is read for the limit. As many entries as the server takes requests a second, chosen by rendezvous hashing, send to it at fixed intervals. Heartbeats carry limits and their ends, at once when they are new. A request that no server may take is refused at once as rate_limited, with the mean time until the next one is taken.

Why it works: the share of each entry follows from the limit and the set of entries alone, so the sum holds as soon as an entry knows the limit, whatever messages about single requests are lost.

--- a/copperyard/attempt_types.py
+++ b/copperyard/attempt_types.py
@@ -55,6 +55,7 @@
         server.
     :param retry_after_s: ``Retry-After`` of the response, 0 if absent.
     :param load: load report of the response, empty if absent.
+    :param rate_limit: limit that the response names; ``None`` if absent.
     :param detail: description of the failure, for logs and for the details of
         refusals.
     """
@@ -64,6 +65,7 @@
     is_sent: bool
     retry_after_s: float = 0.0
     load: str = ''
+    rate_limit: str | None = None
     detail: str = ''
 
     @property
--- a/copperyard/dialects.py
+++ b/copperyard/dialects.py
@@ -30,6 +30,8 @@
         request.
     :param expected_server: id of the server that may run the request.
     :param load: load report of a response.
+    :param rate_limit: requests per second that a server takes from all entries
+        together.
     :param not_run: marks a response to a request that did not run.
     :param not_run_value: the only valid value of ``not_run``; if empty, any
         value is valid.
@@ -51,6 +53,7 @@
     retry_level: bytes = b''
     expected_server: bytes = b''
     load: bytes = b''
+    rate_limit: bytes = b''
     not_run: bytes = b''
     not_run_value: bytes = b''
     refusal_statuses: frozenset[int] = frozenset()
@@ -156,6 +159,16 @@
                 return value.decode('latin-1')
         return ''
 
+    def find_rate_limit(self, headers: tuple[Header, ...]) -> str | None:
+        """Return the limit that a response names.
+
+        :param headers: headers of the response.
+        :returns: values of the header, separated by commas; ``None`` if it is
+            absent.
+        """
+        values = [value for name, value in headers if name == self.rate_limit]
+        return b','.join(values).decode('latin-1') if values else None
+
 
 COPPERYARD_DIALECT: Final = Dialect(
     request_id=REQUEST_ID_HEADER,
--- a/copperyard/dispatching.py
+++ b/copperyard/dispatching.py
@@ -20,7 +20,7 @@
 from copperyard.exchanges import BackendPool, ForwardResult, StreamedResponse
 from copperyard.http_codec import encode_request
 from copperyard.load_probing import build_server_address
-from copperyard.load_reports import record_load_report
+from copperyard.load_reports import record_load_report, record_rate_limit
 from copperyard.logs import log_event
 from copperyard.outcomes import (
     Answered,
@@ -318,7 +318,7 @@
                 waited_s = board.clock() - sent_at
                 self._record_abandoned(state.route, server, waited_s, slowness)
         with _closed_on_error(result):
-            self._record_result(server, result)
+            self._record_result(server, result, sent_at)
             if isinstance(result, Answered) and result.status < _SERVER_ERROR:
                 processing_s = (board.clock() - sent_at) / slowness
                 self._record_processing_time(
@@ -376,7 +376,7 @@
         return True
 
     def _record_result(
-        self, server: KnownServer, result: ForwardResult
+        self, server: KnownServer, result: ForwardResult, sent_at: float
     ) -> None:
         board = self._board
         load = board.find_load(server)
@@ -386,6 +386,9 @@
         match result:
             case AttemptFailure(kind=FailureKind.NOT_RUN):
                 load_text = result.load
+                # Only a response to a request that ran ends a limit.
+                if result.rate_limit is not None:
+                    record_rate_limit(board, server, result.rate_limit, sent_at)
             case AttemptFailure(
                 kind=FailureKind.FULL
                 | FailureKind.INVALID
@@ -397,6 +400,8 @@
                 load.back_off(board.clock())
             case Answered() | StreamedResponse():
                 load_text = PLATFORM_DIALECT.find_load(result.headers)
+                rate_limit = PLATFORM_DIALECT.find_rate_limit(result.headers)
+                record_rate_limit(board, server, rate_limit, sent_at)
                 is_success = result.status < _SERVER_ERROR
         board.record_outcome(server_id, load, is_success=is_success)
         record_load_report(board, server, load_text)
--- a/copperyard/entry.py
+++ b/copperyard/entry.py
@@ -139,6 +139,7 @@
             'datagrams': self._peers.receive,
             'heartbeats': self._peers.run_heartbeats,
             'load_updates': self._peers.run_load_updates,
+            'limit_updates': self._peers.run_limit_updates,
             'operator_records': poller.poll_operator_records,
             'servers': poller.poll_servers,
             'registration': poller.register,
--- a/copperyard/entry_board.py
+++ b/copperyard/entry_board.py
@@ -12,8 +12,10 @@
 from copperyard.concurrency_estimates import ConcurrencyEstimate
 from copperyard.drains import Drain
 from copperyard.entry_settings import EntrySettings
+from copperyard.logs import log_event
 from copperyard.metrics import Metrics
 from copperyard.processing_times import ProcessingTime
+from copperyard.rate_limits import NamedLimit, RateLimits
 from copperyard.routes import Route, RouteTable, ServiceConfig
 from copperyard.server_loads import LoadSample, ServerLoad
 from copperyard.server_table import KnownServer, ServerTable
@@ -43,10 +45,13 @@
     :param drain: the drain in progress while the process is shutting down.
     :param server_table: registered backend servers.
     :param loads_by_id: load of each backend server, created on first use.
+    :param rate_limits: limits that servers name, and this entry's shares.
     :param waiting_requests_by_service: number of requests that wait for a
         backend server.
     :param has_unsent_updates: set while something has to be sent to other
         entries.
+    :param has_unsent_limits: set while other entries should learn of a limit
+        at once.
     :param unsent_samples: newest load report of each server and the time at
         which it arrived.
     :param unsent_sends: ids of servers that were sent a request, one item for
@@ -64,8 +69,10 @@
     drain: Drain | None = None
     server_table: ServerTable = field(default_factory=ServerTable)
     loads_by_id: dict[str, ServerLoad] = field(default_factory=dict)
+    rate_limits: RateLimits = field(default_factory=RateLimits)
     waiting_requests_by_service: Counter[str] = field(default_factory=Counter)
     has_unsent_updates: Event = field(default_factory=Event)
+    has_unsent_limits: Event = field(default_factory=Event)
     unsent_samples: dict[str, tuple[LoadSample, float]] = field(
         default_factory=dict,
     )
@@ -203,7 +210,9 @@
         :param server_id: id of the server.
         :param load: load of that server.
         """
-        load.record_send(self.clock())
+        now = self.clock()
+        load.record_send(now)
+        self.rate_limits.record_send(server_id, now)
         self.unsent_sends.append(server_id)
         self.has_unsent_updates.set()
 
@@ -249,6 +258,7 @@
         """
         for removed_id in self.server_table.remove_due(now):
             self.loads_by_id.pop(removed_id, None)
+            self.rate_limits.forget(removed_id)
         if self._indexed_version != self.server_table.version:
             self._index_servers()
         return [
@@ -276,6 +286,68 @@
             service_config.cold_requests_per_s,
         )
 
+    def may_send_within_limit(self, server: KnownServer, now: float) -> bool:
+        """Return whether the limit that a server names permits a request now.
+
+        :param server: the server.
+        :param now: ``CLOCK_BOOTTIME`` in seconds.
+        """
+        return self.rate_limits.may_send(
+            server.report, self.settings.ip, self.entry_ips, now
+        )
+
+    def record_rate_limit(
+        self, server: KnownServer, requests_per_s: float | None, sent_at: float
+    ) -> None:
+        """Record what a response says about the limit of its server.
+
+        :param server: the server.
+        :param requests_per_s: the limit; ``None`` if the response names none.
+        :param sent_at: when the request was sent, ``CLOCK_BOOTTIME`` in
+            seconds.
+        """
+        is_urgent = self.rate_limits.record_response(
+            server.report, requests_per_s, sent_at, self.clock()
+        )
+        if is_urgent:
+            self.has_unsent_limits.set()
+            self._log_rate_limit(
+                server.report.server_id, requests_per_s, self.settings.ip
+            )
+
+    def merge_rate_limit(
+        self, server_id: str, limit: NamedLimit, source_ip: str
+    ) -> None:
+        """Apply what another entry knows of a server's limit.
+
+        :param server_id: id of the server.
+        :param limit: the limit.
+        :param source_ip: IP address of the other entry.
+        """
+        if self.rate_limits.merge(server_id, limit):
+            self._log_rate_limit(server_id, limit.requests_per_s, source_ip)
+
+    def forget_ended_limits(self) -> None:
+        """Drop limits that nothing needs any more."""
+        self.rate_limits.forget_ended(
+            self.server_table.servers_by_id.keys(), self.clock()
+        )
+
+    def _log_rate_limit(
+        self, server_id: str, requests_per_s: float | None, source_ip: str
+    ) -> None:
+        if requests_per_s is None:
+            self.metrics.count('rate_limit.ended')
+            log_event('rate_limit_ended', server=server_id, source=source_ip)
+            return
+        self.metrics.count('rate_limit.named')
+        log_event(
+            'rate_limit_named',
+            server=server_id,
+            requests_per_s=requests_per_s,
+            source=source_ip,
+        )
+
     def require_health_checks(self, server_ids: list[str]) -> None:
         """Require a health check of servers before they get new requests.
 
--- a/copperyard/entry_gauges.py
+++ b/copperyard/entry_gauges.py
@@ -29,7 +29,16 @@
     for server in board.server_table.servers_by_id.values():
         load = board.find_load(server)
         in_flight[server.report.service] += load.in_flight
+    limited_counts = Counter(
+        known.report.service
+        for known in board.server_table.servers_by_id.values()
+        if board.rate_limits.find(known.report) is not None
+    )
     for service, server_count in server_counts.items():
+        metrics.gauge(
+            add_labels('servers.limited', service=service),
+            limited_counts[service],
+        )
         metrics.gauge(
             add_labels('servers.known', service=service), server_count
         )
--- a/copperyard/entry_messages.py
+++ b/copperyard/entry_messages.py
@@ -7,6 +7,7 @@
 from copperyard.metadata_store import OperatorRecord
 from copperyard.server_table import (
     OFFSET_MAX,
+    SERVER_ID_MAX,
     SLOTS_MAX,
     Name,
     Number,
@@ -22,18 +23,37 @@
 DATAGRAM_MAX_BYTES: Final = 8192
 # More than any entry lists in a heartbeat.
 LISTED_IPS_MAX: Final = 64
+LISTED_LIMITS_MAX: Final = 64
 ACTIVE_REQUESTS_MAX: Final = 1_000_000
 SLOWNESS_MAX: Final = 1_000_000
+RATE_MAX_PER_S: Final = 1_000_000
 
 _AGE_MAX_S: Final = 1_000_000_000
 
 # Offset after the last record that was read; -1 if none was read yet.
 _End: TypeAlias = Annotated[int, msgspec.Meta(ge=-1, le=OFFSET_MAX)]
 _Age: TypeAlias = Annotated[float, msgspec.Meta(ge=0, le=_AGE_MAX_S)]
+_Rate: TypeAlias = Annotated[float, msgspec.Meta(ge=0, le=RATE_MAX_PER_S)]
 # Infinite if nothing was read yet.
 _AgeIfRead: TypeAlias = Annotated[float, msgspec.Meta(ge=0)]
 
 
+class LimitReport(msgspec.Struct, frozen=True, array_like=True):
+    """Limit that a backend server has named, or its end.
+
+    :param server_id: id of the server.
+    :param started_ms: start time of the server's incarnation.
+    :param requests_per_s: requests per second that it takes from all entries
+        together; ``None`` if it has stopped naming a limit.
+    :param age_s: seconds since a response last said so.
+    """
+
+    server_id: Annotated[str, msgspec.Meta(max_length=SERVER_ID_MAX)]
+    started_ms: Number
+    requests_per_s: _Rate | None
+    age_s: _Age
+
+
 class Heartbeat(msgspec.Struct, frozen=True, array_like=True, tag='beat'):
     """Periodic message that an entry is alive.
 
@@ -45,6 +65,7 @@
     :param operator_age_s: seconds since that was last known to be the end of
         the log.
     :param known_ips: IP addresses of some entries that the sender hears from.
+    :param limits: limits of backend servers, drawn at random if there are many.
     """
 
     ip: str
@@ -55,6 +76,9 @@
     known_ips: Annotated[
         tuple[str, ...], msgspec.Meta(max_length=LISTED_IPS_MAX)
     ] = ()
+    limits: Annotated[
+        tuple[LimitReport, ...], msgspec.Meta(max_length=LISTED_LIMITS_MAX)
+    ] = ()
 
 
 class ServerUpdate(msgspec.Struct, frozen=True, array_like=True, tag='servers'):
--- a/copperyard/entry_peers.py
+++ b/copperyard/entry_peers.py
@@ -15,6 +15,7 @@
     Datagram,
     Goodbye,
     Heartbeat,
+    LimitReport,
     LoadReport,
     LoadUpdate,
     OutcomeCounts,
@@ -25,6 +26,7 @@
 )
 from copperyard.fault_barriers import FaultBarrier
 from copperyard.logs import log_event
+from copperyard.rate_limits import NamedLimit
 from copperyard.server_loads import LoadSample
 from copperyard.settings import is_ipv4
 from copperyard.store_replica import StoreReplica
@@ -44,6 +46,11 @@
 FORGET_AFTER_S: Final = 30.0
 # Entries listed in a heartbeat, drawn at random each time; bounds its size.
 KNOWN_IPS_MAX: Final = 16
+# Limits of backend servers listed in a heartbeat, drawn at random each time if
+# there are more; bounds its size.
+LISTED_LIMITS: Final = 32
+# Shortest interval between heartbeats that are sent because of a new limit.
+LIMIT_UPDATE_INTERVAL_S: Final = 0.1
 # Heartbeats sent to an entry that has never been heard from.
 CONTACT_TRIES_MAX: Final = 20
 # Load reports are batched for this time before they are sent.
@@ -149,6 +156,7 @@
         """Send heartbeats periodically until cancelled."""
         while True:
             self._remove_silent(self._board.clock())
+            self._board.forget_ended_limits()
             self.send_heartbeats()
             self._contact_seeds()
             self._tries_by_ip = {
@@ -203,6 +211,14 @@
             self._board.has_unsent_updates = anyio.Event()
             self._send_load_update()
 
+    async def run_limit_updates(self) -> None:
+        """Send a heartbeat at once when a server names a limit or ends it."""
+        while True:
+            await self._board.has_unsent_limits.wait()
+            self._board.has_unsent_limits = anyio.Event()
+            self.send_heartbeats()
+            await anyio.sleep(LIMIT_UPDATE_INTERVAL_S)
+
     def send_goodbye(self) -> None:
         """Tell all entries to stop directing callers to this one."""
         content = encode_message(Goodbye(self._board.settings.ip))
@@ -269,6 +285,7 @@
         self.peers_by_ip[heartbeat.ip] = EntryPeer(now, heartbeat)
         self._update_entry_ips()
         self.contact(heartbeat.known_ips)
+        self._apply_limits(heartbeat, now)
         if heartbeat.operator_end == self._replica.operator_end:
             read_at = now - heartbeat.operator_age_s
             if read_at > self._replica.operator_read_at:
@@ -279,6 +296,13 @@
                 encode_message(self._build_heartbeat(now)),
             )
 
+    def _apply_limits(self, heartbeat: Heartbeat, now: float) -> None:
+        for report in heartbeat.limits:
+            limit = NamedLimit(
+                report.requests_per_s, report.started_ms, now - report.age_s
+            )
+            self._board.merge_rate_limit(report.server_id, limit, heartbeat.ip)
+
     def _apply_load_update(self, update: LoadUpdate, now: float) -> None:
         for report in filter(self._check_report, update.reports):
             load = self._board.loads_by_id.get(report.server_id)
@@ -316,8 +340,22 @@
             operator_end=self._replica.operator_end,
             operator_age_s=now - self._replica.operator_read_at,
             known_ips=tuple(known_ips),
+            limits=self._list_limits(now),
         )
 
+    def _list_limits(self, now: float) -> tuple[LimitReport, ...]:
+        reports = [
+            LimitReport(
+                server_id,
+                limit.started_ms,
+                limit.requests_per_s,
+                max(0.0, now - limit.named_at),
+            )
+            for server_id, limit in self._board.rate_limits.list_recent(now)
+        ]
+        count = min(LISTED_LIMITS, len(reports))
+        return tuple(self._random.sample(reports, count))
+
     def _compute_interval_s(self) -> float:
         return max(
             HEARTBEAT_INTERVAL_S, len(self.peers_by_ip) / HEARTBEATS_PER_S_MAX
--- a/copperyard/exchanges.py
+++ b/copperyard/exchanges.py
@@ -444,6 +444,7 @@
             is_sent=True,
             retry_after_s=_read_retry_after_s(head.values_by_name),
             load=self._dialect.find_load(head.headers),
+            rate_limit=self._dialect.find_rate_limit(head.headers),
             detail='refused as not run',
         )
 
--- a/copperyard/load_probing.py
+++ b/copperyard/load_probing.py
@@ -11,7 +11,11 @@
 from copperyard.exchanges import BackendPool, ForwardResult, StreamedResponse
 from copperyard.fault_barriers import FaultBarrier
 from copperyard.http_calls import build_request, permit_always
-from copperyard.load_reports import record_cold_period, record_load_report
+from copperyard.load_reports import (
+    record_cold_period,
+    record_load_report,
+    record_rate_limit,
+)
 from copperyard.logs import log_event
 from copperyard.platform import HEALTH_DIALECT, read_server_id
 from copperyard.server_table import KnownServer
@@ -124,6 +128,11 @@
             board, server, HEALTH_DIALECT.find_load(result.headers)
         )
         record_cold_period(board, server, result.headers)
+        rate_limit = HEALTH_DIALECT.find_rate_limit(result.headers)
+        # A health check is not a request, so one that names no limit does not
+        # end it.
+        if rate_limit is not None:
+            record_rate_limit(board, server, rate_limit, now)
         # The health check is over even if its status is an error, because the
         # response says how long the server stays cold. An error only raises
         # the server's cost: whether it really fails shows in its responses to
--- a/copperyard/load_reports.py
+++ b/copperyard/load_reports.py
@@ -1,10 +1,14 @@
-"""Load reports in the headers of backend servers' responses."""
+"""What backend servers report of themselves in the headers of responses."""
 
 from typing import Final
 
 from copperyard.entry_board import EntryBoard
 from copperyard.logs import log_event
-from copperyard.platform import read_cold_left_s, read_load
+from copperyard.platform import (
+    read_cold_left_s,
+    read_load,
+    read_rate_limit,
+)
 from copperyard.server_table import KnownServer
 
 LOGGED_CHARACTERS_MAX: Final = 64
@@ -45,6 +49,31 @@
     board.find_load(server).cold_until = board.clock() + cold_left_s
 
 
+def record_rate_limit(
+    board: EntryBoard,
+    server: KnownServer,
+    text: str | None,
+    sent_at: float,
+) -> None:
+    """Record the limit that a response names; an invalid one changes nothing.
+
+    :param board: receives the limit.
+    :param server: server that sent the response.
+    :param text: the limit; ``None`` if the response names none.
+    :param sent_at: when the request was sent, ``CLOCK_BOOTTIME`` in seconds.
+    """
+    requests_per_s = None if text is None else read_rate_limit(text)
+    if text is None or requests_per_s is not None:
+        board.record_rate_limit(server, requests_per_s, sent_at)
+        return
+    board.metrics.count('rate_limit.malformed')
+    log_event(
+        'rate_limit_malformed',
+        server=server.report.server_id,
+        detail=text[:LOGGED_CHARACTERS_MAX],
+    )
+
+
 def _record_malformed(
     board: EntryBoard, server: KnownServer, detail: str
 ) -> None:
--- a/copperyard/outcomes.py
+++ b/copperyard/outcomes.py
@@ -14,6 +14,8 @@
     at present.
     ``NO_SERVER``: no backend server of the service is available.
     ``NO_CAPACITY``: backend servers exist, but none can take the request.
+    ``RATE_LIMITED``: backend servers could take the request, but only at the
+    rate that they have named, which is used up.
     ``LEAVING``: the proxy accepts no new requests.
     ``CLAIM_UNAVAILABLE``: the home of the request id, which is the member that
     permits its one run (see ``claims``), cannot do so now.
@@ -30,6 +32,7 @@
     NO_AUTHORITY = 'no_authority'
     NO_SERVER = 'no_server'
     NO_CAPACITY = 'no_capacity'
+    RATE_LIMITED = 'rate_limited'
     QUEUE_FULL = 'queue_full'
     DEADLINE_TOO_SHORT = 'deadline_too_short'
     LEAVING = 'leaving'
--- a/copperyard/picking.py
+++ b/copperyard/picking.py
@@ -1,6 +1,6 @@
 """Selection of a backend server for each request."""
 
-from collections.abc import Callable, Collection, Sequence
+from collections.abc import Callable, Collection, Iterator, Sequence
 from dataclasses import dataclass, field
 from random import Random
 from typing import Final
@@ -42,6 +42,8 @@
 # then. The jitter keeps rejected requests from being retried all at once.
 SATURATED_RETRY_AFTER_S: Final = 0.1
 RETRY_AFTER_JITTER: Final = (0.5, 1.5)
+# Longest ``Retry-After`` if all servers have named limits that are used up.
+RATE_LIMITED_RETRY_AFTER_MAX_S: Final = 2.0
 # Polling interval while waiting for a free slot, a fifth of the shortest wait.
 FREE_SLOT_POLL_S: Final = 0.005
 # A server in another failure domain is picked only if the local ones are full
@@ -187,9 +189,10 @@
         :param service: name of the service.
         :returns: delay in seconds.
         """
-        if is_saturated(self._list_candidates(_PickState(service))):
-            return self._draw_retry_after_s()
-        return FREE_SLOT_RETRY_AFTER_S
+        candidates = self._list_candidates(_PickState(service))
+        if candidates and not is_saturated(candidates):
+            return FREE_SLOT_RETRY_AFTER_S
+        return self._draw_retry_after_s()
 
     def _draw_retry_after_s(self) -> float:
         return SATURATED_RETRY_AFTER_S * self._random.uniform(
@@ -204,11 +207,7 @@
         while True:
             candidates = self._list_candidates(state)
             if not candidates:
-                return NotRun(
-                    RefusalReason.NO_SERVER,
-                    NO_SERVER_RETRY_AFTER_S,
-                    self._describe(state, candidates),
-                )
+                return self._refuse_without_candidates(state)
             best = self._choose_with_free_slot(state, candidates)
             if best is not None:
                 return best.server
@@ -220,6 +219,24 @@
                 )
             await anyio.sleep(FREE_SLOT_POLL_S)
 
+    def _refuse_without_candidates(self, state: _PickState) -> NotRun:
+        now = self._board.clock()
+        rate_per_s = sum(
+            limit.requests_per_s or 0
+            for server in self._list_available(state, now)
+            if (limit := self._board.rate_limits.find(server.report))
+        )
+        reason = RefusalReason.NO_SERVER
+        retry_after_s = NO_SERVER_RETRY_AFTER_S
+        if rate_per_s:
+            reason = RefusalReason.RATE_LIMITED
+            # On average, the servers take the next request by then.
+            retry_after_s = min(
+                RATE_LIMITED_RETRY_AFTER_MAX_S,
+                self._draw_retry_after_s() + 1 / rate_per_s,
+            )
+        return NotRun(reason, retry_after_s, self._describe(state, ()))
+
     def _choose_with_free_slot(
         self,
         state: _PickState,
@@ -255,9 +272,16 @@
         candidates: Sequence[Candidate],
     ) -> str:
         now = self._board.clock()
-        server_count = len(self._board.list_servers(state.service, now))
+        servers = self._board.list_servers(state.service, now)
+        server_count = len(servers)
+        limited = sum(
+            not self._board.may_send_within_limit(server, now)
+            for server in servers
+        )
         if not candidates:
-            return f'0 of {server_count} servers usable'
+            return (
+                f'0 of {server_count} servers usable, {limited} at their limit'
+            )
         loads = [candidate.load for candidate in candidates]
         active_requests = sum(load.count_active_requests() for load in loads)
         slots = sum(load.sample.slots for load in loads)
@@ -266,21 +290,32 @@
         return (
             f'{len(loads)} of {server_count} servers usable, '
             f'{active_requests} of {slots} slots busy, '
-            f'newest report {age_ms} ms old'
+            f'newest report {age_ms} ms old, {limited} at their limit'
         )
 
     def _list_candidates(self, state: _PickState) -> list[Candidate]:
+        now = self._board.clock()
+        return [
+            self._build_candidate(server, state, now)
+            for server in self._list_available(state, now)
+            if self._may_send(server, now)
+        ]
+
+    def _list_available(
+        self, state: _PickState, now: float
+    ) -> Iterator[KnownServer]:
         board = self._board
-        now = board.clock()
-        candidates = []
         for server in board.list_servers(state.service, now):
-            load = board.find_load(server)
             is_excluded = server.report.server_id in state.excluded_ids
-            if is_excluded or not load.is_available(now):
-                continue
-            if not load.is_cold(now) or board.may_send_to_cold(server, now):
-                candidates.append(self._build_candidate(server, state, now))
-        return candidates
+            if not is_excluded and board.find_load(server).is_available(now):
+                yield server
+
+    def _may_send(self, server: KnownServer, now: float) -> bool:
+        board = self._board
+        is_cold = board.find_load(server).is_cold(now)
+        if is_cold and not board.may_send_to_cold(server, now):
+            return False
+        return board.may_send_within_limit(server, now)
 
     def _build_candidate(
         self,
@@ -298,8 +333,24 @@
         is_fresh = load.is_fresh(
             now, is_single_attempt=state.options.is_single_attempt
         )
+        if self._may_confirm_limit(server, state, now):
+            return Candidate(server, load, 0.0, 0.0, is_fresh=True)
         return Candidate(server, load, cost, adjusted_cost, is_fresh)
 
+    def _may_confirm_limit(
+        self, server: KnownServer, state: _PickState, now: float
+    ) -> bool:
+        """Return whether the request may show if a server's limit has ended.
+
+        The server may be slow, so the request must be one that can be hedged.
+        """
+        options = state.options
+        if options.is_hedge or options.is_single_attempt:
+            return False
+        if not self._board.find_load(server).is_available(now):
+            return False
+        return self._board.rate_limits.needs_confirmation(server.report, now)
+
     async def _probe_servers(self, state: _PickState) -> bool:
         chosen = self._choose_servers_to_probe(state)
         if not chosen:
@@ -319,12 +370,26 @@
             and server.report.server_id not in state.excluded_ids
         ]
         eligible = [
-            candidate for candidate in candidates if _may_probe(candidate, now)
+            candidate
+            for candidate in candidates
+            if self._may_probe(candidate, now)
         ]
         self._random.shuffle(eligible)
         eligible.sort(key=_adjusted_cost)
         return [candidate.server for candidate in eligible[:PROBES_PER_ROUND]]
 
+    def _may_probe(self, candidate: Candidate, now: float) -> bool:
+        load = candidate.load
+        if candidate.is_fresh or now < load.backoff_until:
+            return False
+        if self._board.rate_limits.find(candidate.server.report) is not None:
+            # A server that asks for fewer requests is spared health checks
+            # too, except for the one that makes it usable again.
+            return load.needs_health_check and (
+                self._board.may_send_within_limit(candidate.server, now)
+            )
+        return load.needs_health_check or not load.is_cold(now)
+
 
 def choose_best(
     candidates: Sequence[Candidate],
@@ -369,13 +434,6 @@
     return candidate.adjusted_cost
 
 
-def _may_probe(candidate: Candidate, now: float) -> bool:
-    load = candidate.load
-    if candidate.is_fresh or now < load.backoff_until:
-        return False
-    return load.needs_health_check or not load.is_cold(now)
-
-
 async def _wait_for_probes(probes: Sequence[Probe]) -> None:
     for probe in probes:
         await probe.completed.wait()
--- a/copperyard/platform/__init__.py
+++ b/copperyard/platform/__init__.py
@@ -8,6 +8,7 @@
     RETRY_AFTER,
     read_cold_left_s,
     read_load,
+    read_rate_limit,
     read_server_id,
 )
 from copperyard.platform.lookups import (
@@ -36,6 +37,7 @@
     'load_entry_settings',
     'read_cold_left_s',
     'read_load',
+    'read_rate_limit',
     'read_server_id',
     'read_caller_domain',
 )
--- a/copperyard/platform/headers.py
+++ b/copperyard/platform/headers.py
@@ -1,5 +1,6 @@
 """HTTP headers used between callers, entries and backend servers."""
 
+import re
 from typing import Final
 
 from copperyard.clock import MILLISECONDS_PER_S
@@ -18,6 +19,7 @@
     # Id of the only server that may run the request.
     expected_server=b'x-target-instance',
     load=b'x-backend-load',
+    rate_limit=b'server-limit',
     # Present only if the request was not run.
     not_run=b'x-not-executed',
     signature=b'x-response-signature',
@@ -28,7 +30,9 @@
 )
 # A health check carries neither a request id nor an expected server; its
 # response carries the id of the server instead.
-HEALTH_DIALECT: Final = Dialect(load=PLATFORM_DIALECT.load)
+HEALTH_DIALECT: Final = Dialect(
+    load=PLATFORM_DIALECT.load, rate_limit=PLATFORM_DIALECT.rate_limit
+)
 
 _SERVER_ID: Final = b'x-instance-id'
 _COLD_LEFT_MS: Final = b'x-warmup-ms'
@@ -40,6 +44,8 @@
 # Servers are cold for seconds; without a limit, one header could exclude a
 # server forever.
 _COLD_LEFT_MAX_S: Final = 86_400.0
+# Unlike `float`, it matches no NaN, no infinity and no negative number.
+_DECIMAL_NUMBER: Final = re.compile(r'[0-9]+(?:\.[0-9]+)?')
 
 
 def read_load(text: str) -> LoadSample | None:
@@ -76,6 +82,18 @@
     )
 
 
+def read_rate_limit(text: str) -> float | None:
+    """Decode the requests per second that a server takes.
+
+    :param text: values of the header, separated by commas.
+    :returns: the lowest value; ``None`` if one of them is invalid.
+    """
+    parts = [part.strip() for part in text.split(',')]
+    if not all(map(_DECIMAL_NUMBER.fullmatch, parts)):
+        return None
+    return min(_FIGURE_MAX, *map(float, parts))
+
+
 def read_server_id(headers: tuple[tuple[bytes, bytes], ...]) -> str:
     """Return the id of the server that responded to a health check.
 
--- a/copperyard/server_table.py
+++ b/copperyard/server_table.py
@@ -20,11 +20,12 @@
 # Largest valid offset; a little above it, it still fits into 64 bits.
 OFFSET_MAX: Final = 2**62
 NAME_LENGTH_MAX: Final = 256
+SERVER_ID_MAX: Final = 128
 SLOTS_MAX: Final = 1_000_000
 COLD_MAX_S: Final = 86_400
 
 # Ids are sent in a header of each request.
-_ID_PATTERN: Final = re.compile('[!-~]{1,128}')
+_ID_PATTERN: Final = re.compile(f'[!-~]{{1,{SERVER_ID_MAX}}}')
 # Entries exchange numbers as 64-bit integers.
 _NUMBER_MAX: Final = 2**63 - 1
 
--- a/tests/test_metrics_text.py
+++ b/tests/test_metrics_text.py
@@ -72,9 +72,12 @@
     board.record_send('s1', board.loads_by_id['s1'])
     board.find_retry_budget('ledger').take(board.clock(), 1)
     board.waiting_requests_by_service['ledger'] += 3
+    known = board.server_table.servers_by_id['s1']
+    board.record_rate_limit(known, 2.0, board.clock())
     update_gauges(board, replica)
     found = parse_samples(board.metrics)
     assert found['servers_known{service="ledger"}'] == 2
+    assert found['servers_limited{service="ledger"}'] == 1
     assert found['attempts_in_flight{service="ledger"}'] == 1
     assert found['requests_waiting{service="ledger"}'] == 3
     assert found['repeats_left{service="ledger"}'] == 42.5
