Log what identifies a repeated request beyond its id

attempt_failed now has a fingerprint of the caller's address, the method, host, path and body, which are what a caller sends again; the query and the id are left out. copperyard explain selects lines by it as well. No logic changes: the fingerprint is computed for failed attempts only.

--- a/copperyard/caller_connections.py
+++ b/copperyard/caller_connections.py
@@ -14,7 +14,7 @@
 from typing import Final
 
 import anyio
-from anyio.abc import SocketStream
+from anyio.abc import SocketAttribute, SocketStream
 from httptools import HttpParserError, HttpParserUpgrade, HttpRequestParser
 
 from copperyard.attempt_types import AttemptFailure
@@ -70,6 +70,7 @@
         ``CLOCK_BOOTTIME`` in seconds.
     :param is_keep_alive: whether the caller keeps the connection open.
     :param body: the complete body.
+    :param caller_ip: IP address of the caller.
     :param is_dispatched: set before the request may be sent to a server.
     """
 
@@ -79,6 +80,7 @@
     received_at: float
     is_keep_alive: bool
     body: bytes = b''
+    caller_ip: str = ''
     is_dispatched: bool = False
 
 
@@ -99,7 +101,12 @@
 class _RequestReader:
     """Builds requests from the callbacks of the parser."""
 
-    def __init__(self, limits: RequestLimits, clock: Callable[[], float]):
+    def __init__(
+        self,
+        limits: RequestLimits,
+        clock: Callable[[], float],
+        caller_ip: str,
+    ) -> None:
         self.is_in_head = False
         self.is_in_body = False
         self.head_started_at = 0.0
@@ -108,6 +115,7 @@
         self.complete_requests: deque[ReceivedRequest] = deque()
         self._limits = limits
         self._clock = clock
+        self._caller_ip = caller_ip
         self._parser = HttpRequestParser(self)
         self._target: list[bytes] = []
         self._headers: list[Header] = []
@@ -188,6 +196,7 @@
             target=target,
             headers=tuple(self._headers),
             received_at=self._clock(),
+            caller_ip=self._caller_ip,
             is_keep_alive=(
                 self._parser.should_keep_alive()
                 and not self._parser.should_upgrade()
@@ -297,7 +306,9 @@
         self._stream = stream
         self._callbacks = callbacks
         self._limits = callbacks.find_limits()
-        self._reader = _RequestReader(self._limits, callbacks.clock)
+        self._reader = _RequestReader(
+            self._limits, callbacks.clock, _find_caller_ip(stream)
+        )
         self._pending_responses: deque[_PendingResponse] = deque()
         self._response_enqueued = anyio.Event()
         self._response_sent = anyio.Event()
@@ -518,3 +529,8 @@
     if chunked:
         return b'%x\r\n%b\r\n' % (len(part), part)
     return part
+
+
+def _find_caller_ip(stream: SocketStream) -> str:
+    address = stream.extra(SocketAttribute.remote_address, None)
+    return address[0] if isinstance(address, tuple) else ''
--- a/copperyard/cli.py
+++ b/copperyard/cli.py
@@ -107,7 +107,8 @@
 def explain(request_id: str, *files: Path) -> int:
     """Print the log lines of one request in chronological order.
 
-    :param request_id: id of the request.
+    :param request_id: id of the request, or the fingerprint that its repeats
+        have in common.
     :param files: log files of one or more entries.
     """
     lines: list[str] = []
--- a/copperyard/dispatching.py
+++ b/copperyard/dispatching.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterator
 from contextlib import ExitStack, contextmanager
 from dataclasses import dataclass, field
+from functools import cached_property
 from typing import Final, TypeAlias
 
 import anyio
@@ -36,6 +37,7 @@
     ServerPicker,
 )
 from copperyard.platform import PLATFORM_DIALECT
+from copperyard.request_fingerprints import compute_fingerprint
 from copperyard.requests import CallerRequest
 from copperyard.routes import Route
 from copperyard.server_table import KnownServer
@@ -58,7 +60,7 @@
 DispatchOutcome: TypeAlias = Answered | StreamedResponse | NotRun | Unknown
 
 
-@dataclass(slots=True, kw_only=True)
+@dataclass(kw_only=True)
 class RequestState:
     """A request and the progress of its attempts.
 
@@ -67,6 +69,7 @@
     :param route: the route that it matched.
     :param deadline: when the caller gets a response at the latest,
         ``CLOCK_BOOTTIME`` in seconds.
+    :param caller_ip: IP address of the caller.
     :param attempts: attempts that have been started, without those that
         failed before anything was sent.
     :param tried_server_ids: ids of the servers of all attempts.
@@ -82,6 +85,7 @@
     body: bytes
     route: Route
     deadline: float
+    caller_ip: str = ''
     attempts: int = 0
     tried_server_ids: set[str] = field(default_factory=set)
     possible_runs: int = 0
@@ -89,6 +93,11 @@
     outcome: DispatchOutcome | None = None
     failure: DispatchOutcome | None = None
 
+    @cached_property
+    def fingerprint(self) -> bytes:
+        """Return what identifies the request when its caller repeats it."""
+        return compute_fingerprint(self.request, self.body, self.caller_ip)
+
     def set_outcome(self, outcome: DispatchOutcome) -> None:
         """Set the outcome for the caller unless it is already set."""
         if self.outcome is None:
@@ -490,6 +499,7 @@
             reason=failure.kind.value,
             detail=failure.detail,
             is_sent=failure.is_sent,
+            fingerprint=state.fingerprint.hex() if failure.is_sent else '',
         )
 
     def _choose_outcome(self, state: RequestState) -> DispatchOutcome:
--- a/copperyard/entry_api.py
+++ b/copperyard/entry_api.py
@@ -206,6 +206,7 @@
                 is_idempotent=route.is_idempotent,
             ),
             body=received.body,
+            caller_ip=received.caller_ip,
             route=route,
             deadline=received.received_at
             + min(left_s, route.timeout_s)
--- a/copperyard/request_logs.py
+++ b/copperyard/request_logs.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 # Fields that every line has, and those that identify the request.
+_ID_FIELDS = ('request', 'request_id', 'fingerprint')
 _COMMON_FIELDS = frozenset(
     ('at', 'level', 'event', 'program', 'instance', 'request', 'request_id'),
 )
@@ -31,7 +32,7 @@
 def find_request_lines(request_id: str, lines: Iterable[str]) -> list[LogLine]:
     """Return the log lines of one request, sorted by timestamp.
 
-    :param request_id: id of the request.
+    :param request_id: id of the request, or the fingerprint of its repeats.
     :param lines: lines from the logs of any number of entries; lines that
         are not JSON are skipped.
     """
@@ -62,7 +63,7 @@
 
 
 def _mentions(line: dict[str, Any], request_id: str) -> bool:
-    return request_id in {line.get('request'), line.get('request_id')}
+    return request_id in {line.get(name) for name in _ID_FIELDS}
 
 
 def _build_log_line(line: dict[str, Any]) -> LogLine:
--- a/tests/test_request_logs.py
+++ b/tests/test_request_logs.py
@@ -20,6 +20,23 @@
     )
 
 
+def test_fingerprint_selects_all_repeats_of_a_request(tmp_path, capsys):
+    """Guards against repeats that cannot be recognized as the same request."""
+    lines = [
+        build_log_line(
+            number,
+            'a',
+            'attempt_failed',
+            request=f'q{number}',
+            fingerprint=text,
+        )
+        for number, text in enumerate(('f1', 'f2', 'f1'))
+    ]
+    path = write_log(tmp_path, 'a.log', *lines)
+    assert run(['explain', 'f1', path]) == ExitCode.SUCCESS
+    assert len(capsys.readouterr().out.splitlines()) == 2
+
+
 def test_lines_of_one_request_are_sorted_by_time(tmp_path, capsys):
     """Guards against lines that are missing, unsorted or of other requests.
 
--- a/tests/test_untrusted_input.py
+++ b/tests/test_untrusted_input.py
@@ -219,6 +219,10 @@
         """Record sent bytes."""
         self.sent += content
 
+    def extra(self, attribute, default):
+        """Know nothing of the connection, as after its end."""
+        return default
+
     async def __aenter__(self):
         """Return the stream."""
         return self
