--- a/tests/scenarios/checker.py
+++ b/tests/scenarios/checker.py
@@ -7,11 +7,13 @@
 from typing import Final, TypeVar
 
 from tests.scenarios.history import (
+    CRASH_ID_PREFIX,
     AppliedOffset,
     BecameCold,
     Call,
     ChangeOutcome,
     ColdReport,
+    Crash,
     EntryDisruption,
     History,
     NamedLimit,
@@ -34,6 +36,8 @@
 LIMIT_WINDOW_S: Final = 4.0
 LIMIT_TOLERANCE: Final = 1.5
 LIMIT_SLACK: Final = 5
+#: Servers that a request may end before it must not be sent any more.
+CRASHES_ALLOWED: Final = 3
 #: Refusals without a retry time, because the same request can never succeed.
 _PERMANENT_REASONS: Final = frozenset(
     ('bad_request', 'unknown_service', 'body_too_large'),
@@ -190,6 +194,27 @@
                 )
 
 
+def check_crash_budget(
+    history: History, expectation: Expectation
+) -> Iterator[str]:
+    """Check that a request that ends servers is hardly sent any more."""
+    crashes = sorted(_select(history, Crash), key=lambda crash: crash.at)
+    if len(crashes) < CRASHES_ALLOWED:
+        yield f'only {len(crashes)} servers ended under the request'
+        return
+    since = crashes[CRASHES_ALLOWED - 1].at + expectation.bound
+    runs = [
+        run
+        for run in _select(history, Run)
+        if run.request_id.startswith(CRASH_ID_PREFIX) and run.started > since
+    ]
+    if len(runs) > expectation.count:
+        yield (
+            f'sent {len(runs)} times more from {expectation.bound} s after the '
+            f'third server ended, {len(crashes)} ended in all: {runs[0]}'
+        )
+
+
 def check_probe_budget(history: History, _: Expectation) -> Iterator[str]:
     """Check that no minute has more probes of a server than its budget."""
     for server, samples in _group_samples(history).items():
@@ -388,6 +413,7 @@
     'cold_start': check_cold_start,
     'cold_rate': check_cold_rate,
     'named_limits': check_named_limits,
+    'crash_budget': check_crash_budget,
     'probe_budget': check_probe_budget,
     'domain_quiet': check_no_new_work,
     'server_quiet': check_no_new_work,
--- a/tests/scenarios/history.py
+++ b/tests/scenarios/history.py
@@ -5,6 +5,10 @@
 
 import math
 from dataclasses import dataclass, replace
+from typing import Final
+
+#: Begin of the ids of requests that end the servers that run them.
+CRASH_ID_PREFIX: Final = 'crash-'
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -118,6 +122,15 @@
     until: float
 
 
+@dataclass(frozen=True)
+class Crash:
+    """A backend server ended while it ran a request."""
+
+    server: int
+    at: float
+    request_id: str
+
+
 @dataclass(frozen=True)
 class Withdrawal:
     """A failure domain or a backend server is withdrawn from service.
--- a/tests/scenarios/language.py
+++ b/tests/scenarios/language.py
@@ -27,13 +27,23 @@
 _LIST_RULES: Final = frozenset(('domains', 'operators'))
 _FAULT_RULES: Final = frozenset(
     ('kill', 'freeze', 'stop', 'reload', 'restart', 'cut', 'behave')
-    + ('name_limit', 'leave', 'outage', 'lose', 'lag', 'change', 'race'),
+    + (
+        'name_limit',
+        'crash',
+        'leave',
+        'outage',
+        'lose',
+        'lag',
+        'change',
+        'race',
+    ),
 )
 _PROPERTY_RULES: Final = _DEFAULT_BOUNDS_S.keys() | {
     *('at_most_once', 'truthful', 'own_answer', 'cold_start', 'served'),
     *(
         'cold_rate',
         'named_limits',
+        'crash_budget',
         'probe_budget',
         'stop_cuts_nothing',
         'never_reverts',
--- a/tests/scenarios/platform_harness.py
+++ b/tests/scenarios/platform_harness.py
@@ -3,14 +3,17 @@
 import asyncio
 import random
 import signal
-from contextlib import AsyncExitStack
+from contextlib import AsyncExitStack, suppress
+from functools import partial
 from pathlib import Path
 from typing import Final
 
 from tests.entry_processes import CALLER_PORT, LOOKUP_PORT, Entry, wait_until
 from tests.http_client import seconds_since_boot
 from tests.scenarios.history import (
+    CRASH_ID_PREFIX,
     BecameCold,
+    Crash,
     EntryDisruption,
     History,
     NamedLimit,
@@ -32,6 +35,7 @@
 #: Longer than ``grace-s`` in the settings of the entries.
 STOP_TIMEOUT_S: Final = 6.0
 DEFAULT_COLD_S: Final = 3.0
+CRASH_TARGET: Final = '/read/crash'
 #: Entry 1 uses the loopback address 127.0.0.41.
 HOST_NUMBER_BASE: Final = 40
 
@@ -127,6 +131,8 @@
                 )
             case 'behave':
                 await self._change_behaviour(platform, fault)
+            case 'crash':
+                await self._repeat_crashing_request(fault)
             case 'name_limit':
                 await self._name_limit(fault)
             case 'leave':
@@ -208,6 +214,20 @@
             server.is_silent = server.sheds = False
             server.raw_responses = []
 
+    async def _repeat_crashing_request(self, fault: Fault) -> None:
+        for number, server in self.servers.items():
+            server.crash_path = CRASH_TARGET
+            server.on_crash = partial(self._record_crash, number)
+        async with asyncio.TaskGroup() as tasks:
+            for number in range(int(fault.rate * fault.span)):
+                entry = self._random.choice(list(self.entries.values()))
+                request_id = f'{CRASH_ID_PREFIX}{number}'
+                tasks.create_task(_send_crashing_request(entry, request_id))
+                await asyncio.sleep(1 / fault.rate)
+
+    def _record_crash(self, server: int, request_id: str) -> None:
+        self.events.append(Crash(server, seconds_since_boot(), request_id))
+
     async def _name_limit(self, fault: Fault) -> None:
         server = self.servers[fault.server]
         started_at = seconds_since_boot()
@@ -231,6 +251,12 @@
         )
 
 
+async def _send_crashing_request(entry: Entry, request_id: str) -> None:
+    # The entry may be down.
+    with suppress(OSError):
+        await entry.request(request_id, CRASH_TARGET)
+
+
 def run_platform_scenario(
     scenario: Scenario,
     folder: Path,
--- a/tests/standins/platform.py
+++ b/tests/standins/platform.py
@@ -48,20 +48,42 @@
 Handler = Callable[[Request], Awaitable[Response]]
 
 
-@asynccontextmanager
-async def serve_http(handler, host=LOOPBACK, port=0):
-    """Serve HTTP/1.1 with keep-alive and yield ``ip:port``.
+class HttpListener:
+    """Serves HTTP/1.1 with keep-alive, and can go down and come back.
 
     :param handler: coroutine function from request to response.
     :param host: address to listen on.
     :param port: TCP port; 0 for a free one.
     """
-    writers = set()
 
-    async def serve(reader, writer):
-        writers.add(writer)
+    def __init__(self, handler, host=LOOPBACK, port=0):
+        self._handler = handler
+        self._host = host
+        self._port = port
+        self.is_open = False
+        self._server = None
+        self._writers = set()
+
+    async def open(self):
+        """Start to listen and return ``ip:port``."""
+        self._server = await asyncio.start_server(
+            self._serve, self._host, self._port
+        )
+        self.is_open = True
+        self._host, self._port = self._server.sockets[0].getsockname()
+        return f'{self._host}:{self._port}'
+
+    def close(self):
+        """Stop to listen, and reset all connections."""
+        self.is_open = False
+        self._server.close()
+        for writer in tuple(self._writers):
+            writer.transport.abort()
+
+    async def _serve(self, reader, writer):
+        self._writers.add(writer)
         try:
-            while await _handle_next_request(handler, reader, writer):
+            while await _handle_next_request(self._handler, reader, writer):
                 continue
         except (
             OSError,
@@ -72,17 +94,24 @@
         ):
             return
         finally:
-            writers.discard(writer)
+            self._writers.discard(writer)
             writer.close()
 
-    server = await asyncio.start_server(serve, host, port)
+
+@asynccontextmanager
+async def serve_http(handler, host=LOOPBACK, port=0):
+    """Serve HTTP/1.1 and yield ``ip:port``.
+
+    :param handler: coroutine function from request to response.
+    :param host: address to listen on.
+    :param port: TCP port; 0 for a free one.
+    """
+    listener = HttpListener(handler, host, port)
+    address = await listener.open()
     try:
-        address = server.sockets[0].getsockname()
-        yield f'{address[0]}:{address[1]}'
+        yield address
     finally:
-        server.close()
-        for writer in tuple(writers):
-            writer.transport.abort()
+        listener.close()
 
 
 async def _handle_next_request(handler, reader, writer):
@@ -242,6 +271,9 @@
     :ivar cold_ms: remaining warm-up time that health checks report; 0 for a
         warm server.
     :ivar named_limit: requests per second named in responses; empty for none.
+    :ivar crash_path: path whose requests end the server; empty for none.
+    :ivar down_s: time in seconds until it is back.
+    :ivar on_crash: called with the id of the request.
     :ivar sheds: whether requests are refused with a 503.
     :ivar is_silent: whether requests are read but never get a response.
     :ivar runs: start, end and coldness of each executed request.
@@ -258,6 +290,10 @@
         self.slowness = slowness
         self.cold_ms = 0
         self.named_limit = ''
+        self.crash_path = ''
+        self.down_s = 2.0
+        self.on_crash = lambda request_id: None
+        self.listener = None
         self.sheds = False
         self.is_silent = False
         self.runs = []
@@ -305,6 +341,8 @@
         finally:
             self.in_flight -= 1
             self.runs[run_index]['ended'] = seconds_since_boot()
+        if self.crash_path and request.target.startswith(self.crash_path):
+            await self._crash(request_id)
         if self.raw_responses:
             return Response(raw=self.raw_responses.pop(0))
         headers = {
@@ -316,6 +354,18 @@
             headers['Server-Limit'] = self.named_limit
         return Response(200, headers, f'ran {request_id}'.encode())
 
+    async def _crash(self, request_id):
+        """Reset all connections, and accept none until it is back."""
+        if self.listener.is_open:
+            self.on_crash(request_id)
+            self.listener.close()
+            self._restart = asyncio.create_task(self._come_back())
+        raise ConnectionResetError
+
+    async def _come_back(self):
+        await asyncio.sleep(self.down_s)
+        await self.listener.open()
+
 
 def build_configuration(version=1, **route_changes):
     """Return the platform's configuration of one service and three routes.
@@ -397,9 +447,9 @@
     async with AsyncExitStack() as stack:
         address = await stack.enter_async_context(serve_http(store.handle))
         for server in servers:
-            server.address = await stack.enter_async_context(
-                serve_http(server.handle),
-            )
+            server.listener = HttpListener(server.handle)
+            server.address = await server.listener.open()
+            stack.callback(server.listener.close)
             store.put_server(server.server_id, server.address)
         yield Platform(store, address, list(servers))
 
--- a/tests/test_checker.py
+++ b/tests/test_checker.py
@@ -12,6 +12,7 @@
     Call,
     ChangeOutcome,
     ColdReport,
+    Crash,
     EntryDisruption,
     History,
     NamedLimit,
@@ -69,6 +70,12 @@
     )
 
 
+def _crashes(*times):
+    return tuple(
+        Crash(number, at, f'crash-{at}') for number, at in enumerate(times)
+    )
+
+
 def _probe_samples(*counts, gap=5.0):
     return tuple(
         Sample(server=1, at=10.0 + index * gap, probes=count)
@@ -100,6 +107,7 @@
 
 _EXPECTATION_FIELDS = {
     'cold_rate': {'count': 2},
+    'crash_budget': {'count': 3, 'bound': 3.0},
     'domain_quiet': {'domain': 'cl-a', 'bound': 3.0},
     'server_quiet': {'server': 1, 'bound': 3.0},
     'in_force': {'bound': 3.0},
@@ -161,6 +169,12 @@
         NamedLimit(1, 1.0, 10.0, 20.0),
         *_runs_at(13.1, 12),
     ),
+    'sent four times more after it had ended three servers': (
+        'crash_budget',
+        *_crashes(10.0, 10.1, 10.2),
+        *(_run(request_id='crash-9', started=13.3),) * 4,
+    ),
+    'no server ended': ('crash_budget', *_crashes(10.0, 10.1)),
     'cold server overloaded without a cold start': (
         'cold_start',
         *_overloads(10.5),
@@ -375,6 +389,21 @@
         NamedLimit(2, 1.0, 10.0, 20.0),
         *_runs_at(14.0, 30),
     ),
+    'sent three times more after it had ended three servers': (
+        'crash_budget',
+        *_crashes(10.0, 10.1, 10.2),
+        *(_run(request_id='crash-9', started=13.3),) * 3,
+    ),
+    'sent often soon after it had ended three servers': (
+        'crash_budget',
+        *_crashes(10.0, 10.1, 10.2),
+        *(_run(request_id='crash-9', started=13.1),) * 9,
+    ),
+    'another request sent often': (
+        'crash_budget',
+        *_crashes(10.0, 10.1, 10.2),
+        *(_run(started=13.3),) * 9,
+    ),
     'one overload before a response reported cold': (
         'cold_start',
         BecameCold(1, 10.5),
--- a/tests/test_scenario_language.py
+++ b/tests/test_scenario_language.py
@@ -87,6 +87,11 @@
             'cut entry=3 side=log and peers span=3.0',
         ),
         ('backend server 5 becomes cold', 'behave server=5 mode=cold'),
+        (
+            'a caller repeats a request that ends its server '
+            '10 times per second for 8s',
+            'crash span=8.0 rate=10',
+        ),
         (
             'backend server 5 names a limit of 3 requests per second for 9s',
             'name_limit server=5 span=9.0 rate=3',
