Bound what the search for requests that end servers costs

The first 64 KiB of a body are hashed, a decision takes one pass over the suspects, one crash or two are forgotten after 600 s and single ones are passed on for 10 s, and only a whole response clears a request. Answers are listed beside crashes, so that a storm of crashes does not crowd them out.

--- a/copperyard/crash_suspects.py
+++ b/copperyard/crash_suspects.py
@@ -2,7 +2,6 @@
 
 import hashlib
 import math
-from collections.abc import Iterator, Set
 from dataclasses import dataclass, field
 from typing import Final
 
@@ -22,12 +21,15 @@
 SETTLE_S: Final = 0.25
 # How long a request is refused after the last server has ended under it.
 QUARANTINE_S: Final = 600.0
-# How long crashes are remembered without a further one. A request that ends a
-# server after its quarantine is quarantined again at once.
+# How long the crashes of a quarantined request are remembered. If it ends a
+# server after its quarantine, it is quarantined again at once.
 RETENTION_S: Final = 3600.0
-# How long it is remembered that a request was answered: until entries that did
-# not hear of it have dropped or passed on their crashes.
+# How long those of another request are remembered without a further one.
+SUSPICION_RETENTION_S: Final = 600.0
+# How long it is remembered that a request was answered, and how long answers
+# and single crashes are passed on.
 ANSWER_RETENTION_S: Final = 60.0
+RELAY_MAX_AGE_S: Final = 10.0
 # Crashes kept for one request, and requests kept in all.
 CRASHES_KEPT: Final = 8
 SUSPECTS_MAX: Final = 1000
@@ -85,8 +87,20 @@
         self.crashes_by_key = remaining
         if has_dropped:
             self.is_quarantined = False
+            self.last_crash_at = max(
+                (crash.ended_at for crash in remaining.values()),
+                default=-math.inf,
+            )
         return has_dropped
 
+    def find_retained_until(self) -> float:
+        """Return until when this is remembered, on the clock of the crashes."""
+        if not self.crashes_by_key:
+            return self.answered_at + ANSWER_RETENTION_S
+        if self.is_quarantined:
+            return self.last_crash_at + RETENTION_S
+        return self.last_crash_at + SUSPICION_RETENTION_S
+
 
 class CrashSuspects:
     """Crashes by request fingerprint, and the requests that are quarantined.
@@ -128,10 +142,13 @@
         :param fingerprint: fingerprint of the request.
         :param answered_at: when the answer arrived, ``CLOCK_BOOTTIME`` in
             seconds.
-        :returns: whether this clears the request of a suspicion.
+        :returns: whether this clears the request of more than one crash.
         """
         suspect = self._suspects_by_fingerprint.get(fingerprint)
-        return suspect is not None and suspect.record_answer(answered_at)
+        if suspect is None:
+            return False
+        crash_count = len(suspect.crashes_by_key)
+        return suspect.record_answer(answered_at) and crash_count > 1
 
     def find_quarantine_s(self, fingerprint: bytes, now: float) -> float:
         """Return how much longer a request is quarantined.
@@ -155,10 +172,12 @@
         :param fingerprint: fingerprint of the request.
         """
         suspect = self._suspects_by_fingerprint.get(fingerprint)
-        return (
-            suspect is None
-            or len(self._find_unexplained(suspect)) < CRASHES_WITHOUT_RETRY
+        if suspect is None:
+            return True
+        unexplained_keys = (
+            suspect.crashes_by_key.keys() - self._list_explained_keys()
         )
+        return len(unexplained_keys) < CRASHES_WITHOUT_RETRY
 
     def count_quarantined(self, now: float) -> int:
         """Return how many requests are quarantined.
@@ -171,17 +190,28 @@
             for suspect in self._suspects_by_fingerprint.values()
         )
 
-    def list_most_suspected(self, count: int) -> list[tuple[bytes, Suspect]]:
-        """Return the requests with the most crashes, by fingerprint.
+    def list_most_suspected(
+        self, count: int, now: float
+    ) -> list[tuple[bytes, Suspect]]:
+        """Return the requests to pass on to other entries, by fingerprint.
 
-        :param count: largest number of requests to return.
+        :param count: largest number of requests with crashes, and of answered
+            ones.
+        :param now: ``CLOCK_BOOTTIME`` in seconds.
+        :returns: the requests with the most crashes, and those answered last.
         """
-        ranked = sorted(
-            self._suspects_by_fingerprint.items(),
-            key=lambda item: (len(item[1].crashes_by_key), item[1].answered_at),
-            reverse=True,
-        )
-        return ranked[:count]
+        since = now - RELAY_MAX_AGE_S
+        suspected = []
+        answered = []
+        for item in self._suspects_by_fingerprint.items():
+            _, suspect = item
+            if len(suspect.crashes_by_key) > 1 or suspect.last_crash_at > since:
+                suspected.append(item)
+            elif suspect.answered_at > since:
+                answered.append(item)
+        suspected.sort(key=_count_crashes, reverse=True)
+        answered.sort(key=_get_answered_at, reverse=True)
+        return suspected[:count] + answered[:count]
 
     def forget_old(self, now: float) -> None:
         """Drop crashes and answers that are too old to matter.
@@ -191,55 +221,42 @@
         for fingerprint, suspect in tuple(
             self._suspects_by_fingerprint.items()
         ):
-            is_recent = (
-                now < suspect.last_crash_at + RETENTION_S
-                if suspect.crashes_by_key
-                else now < suspect.answered_at + ANSWER_RETENTION_S
-            )
-            if not is_recent:
+            if now >= suspect.find_retained_until():
                 self._suspects_by_fingerprint.pop(fingerprint)
 
     def _is_cause(
         self, fingerprint: bytes, suspect: Suspect, now: float
     ) -> bool:
-        unexplained = self._find_unexplained(suspect)
-        if len(unexplained) < CRASHES_MIN:
+        explained_keys = self._list_explained_keys()
+        keys = suspect.crashes_by_key.keys() - explained_keys
+        if len(keys) < CRASHES_MIN:
             return False
-        ends = sorted(crash.ended_at for crash in unexplained.values())
+        crashes = [suspect.crashes_by_key[key] for key in keys]
+        ends = sorted(crash.ended_at for crash in crashes)
         # Servers that end together, such as those of one failure domain, have
         # another cause: the request must have been sent again in between.
-        last_sent_at = max(crash.sent_at for crash in unexplained.values())
-        if last_sent_at < ends[0]:
+        if max(crash.sent_at for crash in crashes) < ends[0]:
             return False
-        rivals = list(self._list_rivals(fingerprint, unexplained.keys()))
+        rivals = [
+            other.crashes_by_key.keys()
+            for key, other in self._suspects_by_fingerprint.items()
+            if key != fingerprint
+            and not other.is_quarantined
+            and len(other.crashes_by_key.keys() & keys) >= CRASHES_MIN - 1
+        ]
         if rivals and now < ends[CRASHES_MIN - 1] + SETTLE_S:
             return False
-        if len(unexplained) >= CRASHES_WITHOUT_DOUBT:
+        if len(keys) >= CRASHES_WITHOUT_DOUBT:
             return True
-        return not any(unexplained.keys() <= keys for keys in rivals)
-
-    def _list_rivals(
-        self, fingerprint: bytes, server_keys: Set[bytes]
-    ) -> Iterator[Set[bytes]]:
-        """Return the crashes of other requests that may be the cause."""
-        for other_fingerprint, other in self._suspects_by_fingerprint.items():
-            if other_fingerprint != fingerprint and not other.is_quarantined:
-                keys = self._find_unexplained(other).keys()
-                if len(keys & server_keys) >= CRASHES_MIN - 1:
-                    yield keys
-
-    def _find_unexplained(self, suspect: Suspect) -> dict[bytes, Crash]:
-        """Return the crashes that no quarantined request has caused."""
-        explained_keys = {
-            key
-            for other in self._suspects_by_fingerprint.values()
-            if other.is_quarantined and other is not suspect
-            for key in other.crashes_by_key
-        }
+        return not any(keys <= rival_keys for rival_keys in rivals)
+
+    def _list_explained_keys(self) -> set[bytes]:
+        """Return the servers that quarantined requests have ended."""
         return {
-            key: crash
-            for key, crash in suspect.crashes_by_key.items()
-            if key not in explained_keys
+            key
+            for suspect in self._suspects_by_fingerprint.values()
+            if suspect.is_quarantined
+            for key in suspect.crashes_by_key
         }
 
     def _drop_least_suspected(self) -> None:
@@ -256,6 +273,14 @@
         )
 
 
+def _count_crashes(item: tuple[bytes, Suspect]) -> int:
+    return len(item[1].crashes_by_key)
+
+
+def _get_answered_at(item: tuple[bytes, Suspect]) -> float:
+    return item[1].answered_at
+
+
 def compute_server_key(report: ServerReport) -> bytes:
     """Return a short key of one incarnation of a server.
 
--- a/copperyard/dispatching.py
+++ b/copperyard/dispatching.py
@@ -477,8 +477,9 @@
                         board.clock(),
                     ),
                 )
-            case Answered(status=status) | StreamedResponse(status=status):
-                if status < _SERVER_ERROR and not board.crash_suspects.is_empty:
+            # A streamed response may still break off.
+            case Answered(status=status) if status < _SERVER_ERROR:
+                if not board.crash_suspects.is_empty:
                     board.record_survival(state.fingerprint)
 
     def _evaluate(
--- a/copperyard/entry_peers.py
+++ b/copperyard/entry_peers.py
@@ -396,7 +396,9 @@
                 ),
             )
             for fingerprint, suspect in (
-                self._board.crash_suspects.list_most_suspected(LISTED_SUSPECTS)
+                self._board.crash_suspects.list_most_suspected(
+                    LISTED_SUSPECTS, now
+                )
             )
         )
 
--- a/copperyard/request_fingerprints.py
+++ b/copperyard/request_fingerprints.py
@@ -6,6 +6,8 @@
 from copperyard.requests import CallerRequest
 
 FINGERPRINT_BYTES: Final = 16
+# Part of a body that is hashed; a whole one would delay other requests.
+HASHED_BODY_MAX_BYTES: Final = 64 * 1024
 
 _HOST: Final = b'host'
 
@@ -29,5 +31,5 @@
     for part in (caller_ip.encode(), request.method.encode(), host, path, body):
         # The length keeps parts apart that only together are the same.
         digest.update(b'%d:' % len(part))
-        digest.update(part)
+        digest.update(memoryview(part)[:HASHED_BODY_MAX_BYTES])
     return digest.digest()
