Repeat news in every fourth heartbeat only

A heartbeat that names 16 entries has 211 bytes; with two limits and one suspected request 430, with eight of each 1,635 (encoded with ids as the platform has them). It goes to all entries twice a second; bytes between failure domains are priced, and the number of heartbeats grows with the square of the entries.

News goes out at once, with the next two heartbeats, and then with every fourth one (2 s); an entry that is heard for the first time gets it with the answer to its first heartbeat. tests/test_entry_peers checks both over sockets.

--- a/copperyard/entry_peers.py
+++ b/copperyard/entry_peers.py
@@ -58,6 +58,11 @@
 LISTED_SUSPECTS: Final = 8
 # Shortest interval between heartbeats that are sent because of urgent news.
 URGENT_INTERVAL_S: Final = 0.1
+# Heartbeats from one with limits and crashes to the next; others are short,
+# since each byte between failure domains costs the users money.
+HEARTBEATS_PER_FULL_ONE: Final = 4
+# Full heartbeats after urgent news, in case one of them is lost.
+FULL_HEARTBEATS_AFTER_NEWS: Final = 3
 # Heartbeats sent to an entry that has never been heard from.
 CONTACT_TRIES_MAX: Final = 20
 # Load reports are batched for this time before they are sent.
@@ -108,6 +113,8 @@
         # Heartbeats sent to entries that have not been heard from yet, by IP.
         self._tries_by_ip: dict[str, int] = {}
         self._contacted_seed_ips: tuple[str, ...] = ()
+        self._heartbeat_count = 0
+        self._full_heartbeats_left = 0
         self._socket = socket.socket(
             socket.AF_INET,
             socket.SOCK_DGRAM | socket.SOCK_NONBLOCK | socket.SOCK_CLOEXEC,
@@ -175,7 +182,14 @@
 
     def send_heartbeats(self) -> None:
         """Send a heartbeat to all entries."""
-        content = encode_message(self._build_heartbeat(self._board.clock()))
+        self._heartbeat_count += 1
+        is_full = (
+            self._full_heartbeats_left > 0
+            or self._heartbeat_count % HEARTBEATS_PER_FULL_ONE == 0
+        )
+        self._full_heartbeats_left = max(0, self._full_heartbeats_left - 1)
+        heartbeat = self._build_heartbeat(self._board.clock(), is_full=is_full)
+        content = encode_message(heartbeat)
         for ip in (*self.peers_by_ip, *self._tries_by_ip):
             self._send(ip, content)
 
@@ -223,6 +237,7 @@
         while True:
             await self._board.has_urgent_news.wait()
             self._board.has_urgent_news = anyio.Event()
+            self._full_heartbeats_left = FULL_HEARTBEATS_AFTER_NEWS
             self.send_heartbeats()
             await anyio.sleep(URGENT_INTERVAL_S)
 
@@ -351,7 +366,9 @@
         log_event('load_report_damaged', server=report.server_id)
         return False
 
-    def _build_heartbeat(self, now: float) -> Heartbeat:
+    def _build_heartbeat(
+        self, now: float, *, is_full: bool = True
+    ) -> Heartbeat:
         ips = list(self.peers_by_ip)
         known_ips = self._random.sample(ips, min(KNOWN_IPS_MAX, len(ips)))
         settings = self._board.settings
@@ -362,8 +379,8 @@
             operator_end=self._replica.operator_end,
             operator_age_s=now - self._replica.operator_read_at,
             known_ips=tuple(known_ips),
-            limits=self._list_limits(now),
-            suspects=self._list_suspects(now),
+            limits=self._list_limits(now) if is_full else (),
+            suspects=self._list_suspects(now) if is_full else (),
         )
 
     def _list_limits(self, now: float) -> tuple[LimitReport, ...]:
--- a/tests/test_entry_peers.py
+++ b/tests/test_entry_peers.py
@@ -8,9 +8,12 @@
 import pytest
 
 from copperyard.clock import seconds_since_boot
-from copperyard.entry_messages import Heartbeat
+from copperyard.crash_suspects import Crash
+from copperyard.entry_messages import Heartbeat, decode_datagram
 from copperyard.entry_peers import (
     FORGET_AFTER_S,
+    HEARTBEAT_INTERVAL_S,
+    HEARTBEATS_PER_FULL_ONE,
     LOAD_UPDATE_PEERS_MAX,
     EntryPeer,
     EntryPeers,
@@ -44,6 +47,7 @@
             peers.open(stack)
             group.start_soon(peers.receive)
             group.start_soon(peers.run_load_updates)
+            group.start_soon(peers.run_urgent_heartbeats)
         first[1].contact(('127.0.0.32',))
         for _, peers in (first, second):
             group.start_soon(peers.run_heartbeats)
@@ -83,6 +87,49 @@
         await wait_until(lambda: other.loads_by_id['s1'].sample.slowness == 5.0)
 
 
+async def test_news_of_limits_and_crashes_are_shared_at_once():
+    """Guards against entries that know only what they have met themselves.
+
+    An entry that starts later gets the news with the first heartbeat.
+    """
+    async with open_pair() as ((board, peers), (other, _)):
+        known = board.server_table.servers_by_id['s1']
+        board.record_rate_limit(known, 3.0, board.clock())
+        now = board.clock()
+        for number in range(3):
+            crash = Crash(now - 1 + number / 10, now - 0.95 + number / 10)
+            board.record_crash(b'f' * 16, bytes((number,)) * 8, crash)
+        with anyio.fail_after(HEARTBEAT_INTERVAL_S / 2):
+            await wait_until(
+                lambda: (
+                    other.rate_limits.find(known.report) is not None
+                    and other.crash_suspects.find_quarantine_s(
+                        b'f' * 16, other.clock()
+                    )
+                )
+            )
+        late, late_peers = build_entry('127.0.0.33')
+        late_peers._handle_heartbeat(
+            peers._build_heartbeat(now), seconds_since_boot()
+        )
+        assert late.rate_limits.find(known.report) is not None
+
+
+async def test_most_heartbeats_repeat_no_news():
+    """Guards against traffic between failure domains that grows with news."""
+    board, peers = build_entry('127.0.0.31')
+    known = board.server_table.servers_by_id['s1']
+    board.record_rate_limit(known, 3.0, board.clock())
+    sent = []
+    peers._send = lambda ip, content: sent.append(decode_datagram(content))
+    peers.contact(('127.0.0.32',))
+    for _ in range(4 * HEARTBEATS_PER_FULL_ONE):
+        peers.send_heartbeats()
+    full_count = sum(bool(heartbeat.limits) for heartbeat in sent[1:])
+    assert full_count == 4
+    assert sent[0].limits
+
+
 async def test_contacted_entry_gets_heartbeat_at_once():
     """Guards against lookups that name too few entries after a start.
 
