Recognize a repeated request that comes from changing addresses

Cause: the caller's address was a part of the only fingerprint. The repeats of the users' request reach entries of all three failure domains within some tenths of a second, while a lookup names entries of the caller's own domain, so they come from several addresses, and no fingerprint met three servers.

Change: two fingerprints, of the content alone and with the address; either is enough, and rivals are looked for among those of the same kind. The one with the address stays, for a request that fails for one caller and is sound for others.

--- a/copperyard/crash_checks.py
+++ b/copperyard/crash_checks.py
@@ -11,6 +11,7 @@
 from copperyard.fault_barriers import FaultBarrier
 from copperyard.load_probing import LoadProber
 from copperyard.logs import log_event
+from copperyard.request_fingerprints import RequestFingerprints
 from copperyard.server_table import KnownServer
 
 # A busy server may miss one health check.
@@ -23,13 +24,13 @@
     """A request whose connection ended before the response.
 
     :param request_id: id of the request, for the log.
-    :param fingerprint: its fingerprint.
+    :param fingerprints: its fingerprints.
     :param sent_at: when it was sent, ``CLOCK_BOOTTIME`` in seconds.
     :param ended_at: when the connection ended, on the same clock.
     """
 
     request_id: str
-    fingerprint: bytes
+    fingerprints: RequestFingerprints
     sent_at: float
     ended_at: float
 
@@ -88,7 +89,7 @@
 
     def _record(self, server: KnownServer, broken: BrokenRequest) -> None:
         is_new = self._board.record_crash(
-            broken.fingerprint,
+            broken.fingerprints,
             compute_server_key(server.report),
             Crash(broken.sent_at, broken.ended_at),
         )
@@ -98,5 +99,5 @@
                 'server_ended_under_request',
                 server=server.report.server_id,
                 request=broken.request_id,
-                fingerprint=broken.fingerprint.hex(),
+                fingerprint=broken.fingerprints.content.hex(),
             )
--- a/copperyard/crash_suspects.py
+++ b/copperyard/crash_suspects.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, field
 from typing import Final
 
+from copperyard.request_fingerprints import is_same_scope
 from copperyard.server_table import ServerReport
 
 # Servers that have to end under a request before it is quarantined. A request
@@ -175,7 +176,8 @@
         if suspect is None:
             return True
         unexplained_keys = (
-            suspect.crashes_by_key.keys() - self._list_explained_keys()
+            suspect.crashes_by_key.keys()
+            - self._list_explained_keys(fingerprint)
         )
         return len(unexplained_keys) < CRASHES_WITHOUT_RETRY
 
@@ -227,7 +229,7 @@
     def _is_cause(
         self, fingerprint: bytes, suspect: Suspect, now: float
     ) -> bool:
-        explained_keys = self._list_explained_keys()
+        explained_keys = self._list_explained_keys(fingerprint)
         keys = suspect.crashes_by_key.keys() - explained_keys
         if len(keys) < CRASHES_MIN:
             return False
@@ -241,6 +243,7 @@
             other.crashes_by_key.keys()
             for key, other in self._suspects_by_fingerprint.items()
             if key != fingerprint
+            and is_same_scope(key, fingerprint)
             and not other.is_quarantined
             and len(other.crashes_by_key.keys() & keys) >= CRASHES_MIN - 1
         ]
@@ -250,13 +253,17 @@
             return True
         return not any(keys <= rival_keys for rival_keys in rivals)
 
-    def _list_explained_keys(self) -> set[bytes]:
-        """Return the servers that quarantined requests have ended."""
+    def _list_explained_keys(self, fingerprint: bytes) -> set[bytes]:
+        """Return the servers that other quarantined requests have ended."""
         return {
             key
-            for suspect in self._suspects_by_fingerprint.values()
-            if suspect.is_quarantined
-            for key in suspect.crashes_by_key
+            for other_fingerprint, other in (
+                self._suspects_by_fingerprint.items()
+            )
+            if other.is_quarantined
+            and other_fingerprint != fingerprint
+            and is_same_scope(other_fingerprint, fingerprint)
+            for key in other.crashes_by_key
         }
 
     def _drop_least_suspected(self) -> None:
--- a/copperyard/dispatching.py
+++ b/copperyard/dispatching.py
@@ -38,7 +38,10 @@
     ServerPicker,
 )
 from copperyard.platform import PLATFORM_DIALECT
-from copperyard.request_fingerprints import compute_fingerprint
+from copperyard.request_fingerprints import (
+    RequestFingerprints,
+    compute_fingerprints,
+)
 from copperyard.requests import CallerRequest
 from copperyard.routes import Route
 from copperyard.server_table import KnownServer
@@ -95,9 +98,9 @@
     failure: DispatchOutcome | None = None
 
     @cached_property
-    def fingerprint(self) -> bytes:
-        """Return what identifies the request when its caller repeats it."""
-        return compute_fingerprint(self.request, self.body, self.caller_ip)
+    def fingerprints(self) -> RequestFingerprints:
+        """Return what identifies the request when it is sent again."""
+        return compute_fingerprints(self.request, self.body, self.caller_ip)
 
     def set_outcome(self, outcome: DispatchOutcome) -> None:
         """Set the outcome for the caller unless it is already set."""
@@ -288,10 +291,14 @@
         suspects = self._board.crash_suspects
         if suspects.is_empty:
             return False
-        remaining_s = suspects.find_quarantine_s(state.fingerprint, now)
+        fingerprints = state.fingerprints
+        remaining_s = max(
+            suspects.find_quarantine_s(fingerprint, now)
+            for fingerprint in fingerprints.all
+        )
         if not remaining_s:
             return False
-        fingerprint = state.fingerprint.hex()
+        fingerprint = fingerprints.content.hex()
         log_event(
             'request_quarantined',
             request=state.request.request_id,
@@ -323,7 +330,9 @@
             # Nothing was sent, so this does not count against the retry budget.
             return len(state.tried_server_ids) < TRIED_SERVERS_MAX
         suspects = self._board.crash_suspects
-        if not suspects.is_empty and not suspects.may_retry(state.fingerprint):
+        if not suspects.is_empty and not all(
+            map(suspects.may_retry, state.fingerprints.all)
+        ):
             self._board.metrics.count('repeat.suspected')
             return False
         budget = self._board.find_retry_budget(state.request.service)
@@ -472,7 +481,7 @@
                     server,
                     BrokenRequest(
                         state.request.request_id,
-                        state.fingerprint,
+                        state.fingerprints,
                         sent_at,
                         board.clock(),
                     ),
@@ -480,7 +489,7 @@
             # A streamed response may still break off.
             case Answered(status=status) if status < _SERVER_ERROR:
                 if not board.crash_suspects.is_empty:
-                    board.record_survival(state.fingerprint)
+                    board.record_survival(state.fingerprints)
 
     def _evaluate(
         self,
@@ -566,7 +575,9 @@
             reason=failure.kind.value,
             detail=failure.detail,
             is_sent=failure.is_sent,
-            fingerprint=state.fingerprint.hex() if failure.is_sent else '',
+            fingerprint=(
+                state.fingerprints.content.hex() if failure.is_sent else ''
+            ),
         )
 
     def _choose_outcome(self, state: RequestState) -> DispatchOutcome:
--- a/copperyard/entry_board.py
+++ b/copperyard/entry_board.py
@@ -17,6 +17,7 @@
 from copperyard.metrics import Metrics
 from copperyard.processing_times import ProcessingTime
 from copperyard.rate_limits import NamedLimit, RateLimits
+from copperyard.request_fingerprints import RequestFingerprints
 from copperyard.routes import Route, RouteTable, ServiceConfig
 from copperyard.server_loads import LoadSample, ServerLoad
 from copperyard.server_table import KnownServer, ServerTable
@@ -331,29 +332,35 @@
             self._log_rate_limit(server_id, limit.requests_per_s, source_ip)
 
     def record_crash(
-        self, fingerprint: bytes, server_key: bytes, crash: Crash
+        self,
+        fingerprints: RequestFingerprints,
+        server_key: bytes,
+        crash: Crash,
     ) -> bool:
         """Record that a server has ended under a request of this entry.
 
-        :param fingerprint: fingerprint of the request.
+        :param fingerprints: fingerprints of the request.
         :param server_key: key of the server.
         :param crash: when the request was sent and its connection ended.
         :returns: whether this was not known yet.
         """
-        is_new = self.crash_suspects.record_crash(
-            fingerprint, server_key, crash
-        )
-        if is_new:
+        is_new = [
+            self.crash_suspects.record_crash(fingerprint, server_key, crash)
+            for fingerprint in fingerprints.all
+        ]
+        if any(is_new):
             self.has_urgent_news.set()
-        return is_new
+        return any(is_new)
 
-    def record_survival(self, fingerprint: bytes) -> None:
+    def record_survival(self, fingerprints: RequestFingerprints) -> None:
         """Record that a server has run a request of this entry and survived.
 
-        :param fingerprint: fingerprint of the request.
+        :param fingerprints: fingerprints of the request.
         """
-        if self.crash_suspects.record_answer(fingerprint, self.clock()):
-            self.has_urgent_news.set()
+        now = self.clock()
+        for fingerprint in fingerprints.all:
+            if self.crash_suspects.record_answer(fingerprint, now):
+                self.has_urgent_news.set()
 
     def forget_old_facts(self) -> None:
         """Drop limits, crashes and answers that nothing needs any more."""
--- a/copperyard/entry_peers.py
+++ b/copperyard/entry_peers.py
@@ -52,10 +52,10 @@
 KNOWN_IPS_MAX: Final = 16
 # Limits of backend servers listed in a heartbeat, drawn at random each time if
 # there are more; bounds its size.
-LISTED_LIMITS: Final = 32
+LISTED_LIMITS: Final = 20
 # Requests under which servers have ended that are listed in a heartbeat; bounds
 # its size.
-LISTED_SUSPECTS: Final = 8
+LISTED_SUSPECTS: Final = 12
 # Shortest interval between heartbeats that are sent because of urgent news.
 URGENT_INTERVAL_S: Final = 0.1
 # Heartbeats from one with limits and crashes to the next; others are short,
--- a/tests/entry_processes.py
+++ b/tests/entry_processes.py
@@ -85,7 +85,9 @@
             'X-Request-Id': request_id,
             'X-Deadline-Ms': '900',
         }
-        reader, writer = await asyncio.open_connection(self.ip, CALLER_PORT)
+        reader, writer = await asyncio.open_connection(
+            self.ip, CALLER_PORT, local_addr=options.get('local_address')
+        )
         method = options.get('method', 'GET')
         lines = [f'{name}: {text}' for name, text in headers.items()]
         lines.append('Connection: close')
--- a/tests/scenarios/platform_harness.py
+++ b/tests/scenarios/platform_harness.py
@@ -222,7 +222,11 @@
             for number in range(int(fault.rate * fault.span)):
                 entry = self._random.choice(list(self.entries.values()))
                 request_id = f'{CRASH_ID_PREFIX}{number}'
-                tasks.create_task(_send_crashing_request(entry, request_id))
+                # The users' caller has no fixed address.
+                local_ip = f'127.0.1.{1 + number % 250}'
+                tasks.create_task(
+                    _send_crashing_request(entry, request_id, local_ip)
+                )
                 await asyncio.sleep(1 / fault.rate)
 
     def _record_crash(self, server: int, request_id: str) -> None:
@@ -251,10 +255,14 @@
         )
 
 
-async def _send_crashing_request(entry: Entry, request_id: str) -> None:
+async def _send_crashing_request(
+    entry: Entry, request_id: str, local_ip: str
+) -> None:
     # The entry may be down.
     with suppress(OSError):
-        await entry.request(request_id, CRASH_TARGET)
+        await entry.request(
+            request_id, CRASH_TARGET, local_address=(local_ip, 0)
+        )
 
 
 def run_platform_scenario(
--- a/tests/test_crash_suspects.py
+++ b/tests/test_crash_suspects.py
@@ -40,6 +40,7 @@
 from copperyard.entry_peers import LISTED_SUSPECTS, EntryPeers
 from copperyard.load_probing import LoadProber
 from copperyard.outcomes import Answered, NotRun, RefusalReason, Unknown
+from copperyard.request_fingerprints import RequestFingerprints
 from copperyard.store_replica import StoreReplica
 from tests.entry_builders import (
     ManualClock,
@@ -51,8 +52,9 @@
 
 pytestmark = [pytest.mark.anyio, pytest.mark.timeout(30)]
 
-CAUSE, VICTIM = b'c' * 16, b'v' * 16
+CAUSE, VICTIM = b'c' * 16, b'c' + b'v' * 15
 RUN_S = 0.1
+FINGERPRINTS = RequestFingerprints(b'a' * 16, CAUSE)
 RESET = AttemptFailure(FailureKind.RESET, 's', is_sent=True)
 
 
@@ -266,7 +268,9 @@
     known = board.server_table.servers_by_id['s1']
     async with run_checker(board, *results) as (checker, pool):
         for number in range(5):
-            checker.start(known, BrokenRequest(f'q{number}', CAUSE, 1.0, 1.1))
+            checker.start(
+                known, BrokenRequest(f'q{number}', FINGERPRINTS, 1.0, 1.1)
+            )
     assert pool.count <= CHECKS_MAX
     assert board.crash_suspects.is_empty != is_crash
     assert board.metrics.counts_by_name['crash.recorded'] == is_crash
@@ -283,7 +287,8 @@
 
 def suspect_request(board, count):
     """Record that servers have ended under the request of the builders."""
-    fingerprint = build_request_state(seconds_since_boot).fingerprint
+    state = build_request_state(seconds_since_boot)
+    fingerprint = state.fingerprints.caller
     now = seconds_since_boot()
     for number in range(count):
         ended_at = now - 1 + number / 5
@@ -304,6 +309,38 @@
     assert not pool.server_ids
 
 
+async def test_request_from_changing_addresses_is_quarantined():
+    """Guards against a caller that is behind many addresses.
+
+    A request of another caller to the same path is served, as it has another
+    body.
+    """
+    board = build_board(
+        *(f's{number}' for number in range(9)), clock=seconds_since_boot
+    )
+
+    def record(server, broken):
+        crash = Crash(broken.sent_at, broken.ended_at)
+        key = compute_server_key(server.report)
+        board.record_crash(broken.fingerprints, key, crash)
+
+    sent_count = 0
+    picker = DelayedPicker(board)
+    for number in range(8):
+        pool = ScriptedPool(*((0.01, RESET),) * 2)
+        dispatcher = Dispatcher(board, pool, picker, record)
+        state = build_request_state(seconds_since_boot)
+        state.caller_ip = f'10.0.0.{number}'
+        await dispatcher.run(state)
+        sent_count += len(pool.server_ids)
+    assert CRASHES_MIN <= sent_count <= CRASHES_MIN + 1
+    other = build_request_state(seconds_since_boot)
+    other.body = b'1'
+    pool = ScriptedPool((0, build_answer()))
+    dispatcher = Dispatcher(board, pool, DelayedPicker(board))
+    assert isinstance(await dispatcher.run(other), Answered)
+
+
 async def test_suspected_request_is_sent_to_one_server_only():
     """Guards against a retry that ends one server more at each repeat."""
     board = build_board('s1', 's2', clock=seconds_since_boot)
@@ -322,7 +359,7 @@
         board,
         (0, RESET),
         (0, build_answer()),
-        check=lambda server, broken: checked.append(broken.fingerprint),
+        check=lambda server, broken: checked.append(broken.fingerprints.caller),
     )
     assert isinstance(outcome, Answered)
     assert checked == [fingerprint]
@@ -403,6 +440,11 @@
     assert len(encode_message(heartbeat)) < DATAGRAM_MAX_BYTES
 
 
+def build_fingerprints(fingerprint):
+    """Return the fingerprints of a request whose caller has one address."""
+    return RequestFingerprints(b'a' + fingerprint[1:], b'c' + fingerprint[1:])
+
+
 class Fleet:
     """Entries on one clock through which callers repeat requests.
 
@@ -456,7 +498,10 @@
         if number is None:
             number = self.random.randrange(len(self.entries))
         suspects = self.entries[number].board.crash_suspects
-        remaining_s = suspects.find_quarantine_s(fingerprint, self.clock())
+        remaining_s = max(
+            suspects.find_quarantine_s(scoped, self.clock())
+            for scoped in build_fingerprints(fingerprint).all
+        )
         return None if remaining_s else self.entries[number]
 
     def end_server(self, requests):
@@ -466,7 +511,9 @@
         now = self.clock()
         for entry, fingerprint in requests:
             crash = Crash(now - RUN_S, now)
-            entry.board.record_crash(fingerprint, server_key, crash)
+            entry.board.record_crash(
+                build_fingerprints(fingerprint), server_key, crash
+            )
 
 
 @pytest.mark.parametrize('seed', range(10))
@@ -502,7 +549,7 @@
             stopped_at = fleet.clock()
         answering = fleet.send(beside[3])
         assert answering is not None
-        answering.board.record_survival(beside[3])
+        answering.board.record_survival(build_fingerprints(beside[3]))
     assert CRASHES_MIN <= fleet.ended_servers <= CRASHES_WITHOUT_DOUBT + 4
     for fingerprint in beside:
         assert fleet.send(fingerprint) is not None
--- a/tests/test_entry_peers.py
+++ b/tests/test_entry_peers.py
@@ -18,12 +18,14 @@
     EntryPeer,
     EntryPeers,
 )
+from copperyard.request_fingerprints import RequestFingerprints
 from copperyard.server_loads import LoadSample
 from copperyard.store_replica import StoreReplica
 from tests.entry_builders import build_board
 
 pytestmark = [pytest.mark.anyio, pytest.mark.timeout(20)]
 PORT = 17790
+FINGERPRINTS = RequestFingerprints(b'a' * 16, b'c' * 16)
 
 
 def build_entry(ip):
@@ -98,13 +100,13 @@
         now = board.clock()
         for number in range(3):
             crash = Crash(now - 1 + number / 10, now - 0.95 + number / 10)
-            board.record_crash(b'f' * 16, bytes((number,)) * 8, crash)
+            board.record_crash(FINGERPRINTS, bytes((number,)) * 8, crash)
         with anyio.fail_after(HEARTBEAT_INTERVAL_S / 2):
             await wait_until(
                 lambda: (
                     other.rate_limits.find(known.report) is not None
                     and other.crash_suspects.find_quarantine_s(
-                        b'f' * 16, other.clock()
+                        FINGERPRINTS.content, other.clock()
                     )
                 )
             )
