Refuse requests that end backend servers in agent and proxy too

Callers would lose a whole service to one request.

Proxies find out by a new connection whether a server has ended, report it to their agent, agents pass it on with heartbeats and feeds, and proxies refuse the request as quarantined, before its claim is used.

--- a/copperyard/agent_service.py
+++ b/copperyard/agent_service.py
@@ -1,6 +1,6 @@
 """gRPC service of the agent, for the local proxy and for other agents."""
 
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 from contextlib import contextmanager
 from typing import Final
 
@@ -30,7 +30,9 @@
     RelayReply,
     RelayRequest,
     ReportReply,
+    SuspectInfo,
 )
+from copperyard.suspect_codec import encode_suspects, merge_suspects
 
 # A grant is sent this often even without changes, which renews the lease.
 RENEWAL_INTERVAL_S: Final = 0.25
@@ -57,12 +59,14 @@
         now = seconds_since_boot()
         status = decode_request(request)
         board.heartbeats.receive_request(status, now)
+        _merge_suspects(board, request.suspects, now)
         promise_s = board.heartbeats.promise_no_eviction(
             status.member,
             now,
             log_access=has_log_access(board, now),
         )
         reply = encode_reply(build_status(board, now), promise_s)
+        reply.suspects.extend(encode_suspects(board.crash_suspects, now))
         await stream.send_message(reply)
 
     async def Relay(  # noqa: N802
@@ -108,6 +112,7 @@
                     report.applied_view, report.applied_configuration
                 ),
             )
+            _merge_suspects(board, report.suspects, seconds_since_boot())
             if report.stopping or report.drained:
                 board.changed.fire()
         await stream.send_message(ReportReply())
@@ -129,13 +134,22 @@
                 link.grant_tracker.record_grant(grant)
                 link.granted_member_key = grant.member_key
                 unchanged = has_same_content(grant, previous)
-                await stream.send_message(
-                    encode_grant(grant, unchanged=unchanged),
+                update = encode_grant(grant, unchanged=unchanged)
+                update.suspects.extend(
+                    encode_suspects(board.crash_suspects, seconds_since_boot())
                 )
+                await stream.send_message(update)
                 previous = grant
             await board.changed.wait(RENEWAL_INTERVAL_S)
 
 
+def _merge_suspects(
+    board: AgentBoard, messages: Iterable[SuspectInfo], now: float
+) -> None:
+    if merge_suspects(board.crash_suspects, messages, now):
+        board.changed.fire()
+
+
 def _build_relay_reply(board: AgentBoard, request: RelayRequest) -> RelayReply:
     if request.stream not in board.streams:
         return RelayReply()
--- a/copperyard/attempts.py
+++ b/copperyard/attempts.py
@@ -14,6 +14,7 @@
 from copperyard.authority import AuthorityLevel
 from copperyard.blackboard import ProxyBoard
 from copperyard.clock import seconds_since_boot
+from copperyard.crash_reports import CrashReports
 from copperyard.dialects import COPPERYARD_DIALECT
 from copperyard.exchanges import ForwardResult, StreamedResponse
 from copperyard.loan_manager import BorrowedSlot, LoanManager
@@ -52,6 +53,7 @@
     :param board: state of the proxy.
     :param slots: slots of this proxy's backend servers.
     :param loans: slots borrowed from other proxies.
+    :param crashes: records the results that show whether a server has ended.
     """
 
     def __init__(
@@ -59,10 +61,12 @@
         board: ProxyBoard,
         slots: SlotAllocator,
         loans: LoanManager,
+        crashes: CrashReports,
     ) -> None:
         self._board = board
         self._slots = slots
         self._loans = loans
+        self._crashes = crashes
 
     async def run(
         self,
@@ -93,10 +97,9 @@
             may_send=lambda: self._may_send(slot),
         )
         result: ForwardResult | None = None
+        address = self._build_address(slot)
         try:
-            result = await board.pool.forward(
-                self._build_address(slot), attempt
-            )
+            result = await board.pool.forward(address, attempt)
         finally:
             if isinstance(result, StreamedResponse):
                 result.on_closed = partial(
@@ -104,6 +107,7 @@
                 )
             else:
                 self._release(slot, result, started_at)
+        self._crashes.record_result(request, body, address, started_at, result)
         return result
 
     def _release(
--- a/copperyard/blackboard.py
+++ b/copperyard/blackboard.py
@@ -7,6 +7,7 @@
 
 from copperyard.authority import AuthorityLevel
 from copperyard.configuration import Configuration
+from copperyard.crash_suspects import Crash, CrashSuspects
 from copperyard.exchanges import BackendPool
 from copperyard.grants import Grant, GrantTracker
 from copperyard.log_follower import LogFollower
@@ -17,6 +18,7 @@
 from copperyard.ownership import HandoverTable
 from copperyard.probe_schedule import ProbeSchedule
 from copperyard.records import Member
+from copperyard.request_fingerprints import RequestFingerprints
 from copperyard.routing import Router
 from copperyard.settings import AgentSettings, ProxySettings
 from copperyard.snapshots import (
@@ -128,7 +130,9 @@
     :param has_joined: whether the local member is or was in the view.
     :param goodbye: whether the local member has permanently stopped sending
         requests to backend servers, which its heartbeats announce.
-    :param changed: fired when anything that a grant depends on changes.
+    :param crash_suspects: requests under which servers have ended, passed on
+        between the proxy and the other agents.
+    :param changed: fired when anything that the proxy has to know changes.
     """
 
     settings: AgentSettings
@@ -148,6 +152,7 @@
     stopping: bool = False
     has_joined: bool = False
     goodbye: bool = False
+    crash_suspects: CrashSuspects = field(default_factory=CrashSuspects)
     changed: Signal = field(default_factory=Signal)
     # Damaged records that have been reported already.
     _damaged_counts_by_stream: dict[str, int] = field(default_factory=dict)
@@ -244,6 +249,7 @@
         it stays drained until a new incarnation replaces the member.
     :param drained_member_key: key of the member for which it drained.
     :param claims_handed: whether other members have taken over all claims.
+    :param crash_suspects: requests under which servers have ended.
     :param changed: fired when the proxy should report to its agent.
     """
 
@@ -259,6 +265,7 @@
     drained: bool = False
     drained_member_key: str = ''
     claims_handed: bool = False
+    crash_suspects: CrashSuspects = field(default_factory=CrashSuspects)
     changed: Signal = field(default_factory=Signal)
 
     @property
@@ -276,3 +283,24 @@
         if self.grant is None:
             return AuthorityLevel.NONE
         return self.grant.authority.level_at(now)
+
+    def record_crash(
+        self,
+        fingerprints: RequestFingerprints,
+        server_key: bytes,
+        crash: Crash,
+    ) -> bool:
+        """Record that a server has ended under a request of this proxy.
+
+        :param fingerprints: fingerprints of the request.
+        :param server_key: key of the server.
+        :param crash: when the request was sent and its connection ended.
+        :returns: whether this was not known yet.
+        """
+        is_new = [
+            self.crash_suspects.record_crash(fingerprint, server_key, crash)
+            for fingerprint in fingerprints.all
+        ]
+        if any(is_new):
+            self.changed.fire()
+        return any(is_new)
--- a/copperyard/crash_suspects.py
+++ b/copperyard/crash_suspects.py
@@ -94,6 +94,11 @@
             )
         return has_dropped
 
+    def find_recent_answer_age(self, now: float) -> float | None:
+        """Return how long ago a server answered; ``None`` if it is long ago."""
+        age_s = max(0.0, now - self.answered_at)
+        return age_s if age_s < RELAY_MAX_AGE_S else None
+
     def find_retained_until(self) -> float:
         """Return until when this is remembered, on the clock of the crashes."""
         if not self.crashes_by_key:
@@ -293,5 +298,12 @@
 
     :param report: the server.
     """
-    name = f'{report.started_ms}:{report.server_id}'
+    return digest_server_name(f'{report.started_ms}:{report.server_id}')
+
+
+def digest_server_name(name: str) -> bytes:
+    """Return the key of a server.
+
+    :param name: name that identifies the server.
+    """
     return hashlib.blake2b(name.encode(), digest_size=SERVER_KEY_BYTES).digest()
--- a/copperyard/entry.py
+++ b/copperyard/entry.py
@@ -119,8 +119,17 @@
             self._random,
             self._pool.has_idle,
         )
-        checker = CrashChecker(self.board, prober, group)
-        dispatcher = Dispatcher(self.board, self._pool, picker, checker.start)
+        checker = CrashChecker(
+            self.board.record_crash, self.board.metrics, group
+        )
+        dispatcher = Dispatcher(
+            self.board,
+            self._pool,
+            picker,
+            lambda server, broken: checker.start(
+                prober.describe_check(server), broken
+            ),
+        )
         return EntryApi(
             self.board,
             dispatcher,
--- a/copperyard/entry_peers.py
+++ b/copperyard/entry_peers.py
@@ -1,6 +1,5 @@
 """Membership and load gossip between entries over UDP."""
 
-import math
 import socket
 from collections.abc import Iterable, Mapping
 from contextlib import AsyncExitStack
@@ -400,9 +399,7 @@
         return tuple(
             SuspectReport(
                 fingerprint,
-                None
-                if math.isinf(suspect.answered_at)
-                else max(0.0, now - suspect.answered_at),
+                suspect.find_recent_answer_age(now),
                 tuple(
                     CrashReport(
                         server_key,
--- a/copperyard/feed_controller.py
+++ b/copperyard/feed_controller.py
@@ -20,6 +20,7 @@
 )
 from copperyard.peers import CALL_TIMEOUT_S, PEER_ERRORS, PeerChannels
 from copperyard.slots import SlotAllocator
+from copperyard.suspect_codec import encode_suspects, merge_suspects
 
 RECONNECT_DELAY_S: Final = 0.1
 REPORT_INTERVAL_S: Final = 0.5
@@ -74,6 +75,11 @@
         async with stub.Feed.open() as stream:
             await stream.send_message(request, end=True)
             async for update in stream:
+                merge_suspects(
+                    self._board.crash_suspects,
+                    update.suspects,
+                    seconds_since_boot(),
+                )
                 grant = decode_grant(update, self._board.grant)
                 if grant is not None:
                     self.apply_grant(grant)
@@ -118,6 +124,7 @@
                     has_full_authority=False, now=now
                 )
             self._loans.expire(now)
+            self._board.crash_suspects.forget_old(now)
             self._slots.recheck_queue()
             self._board.pool.close_expired_idle(now)
             self._board.pool.close_expired_responses(now)
@@ -170,6 +177,9 @@
             ServiceCapacity(service=service, slots=slots)
             for service, slots in board.router.slots_by_service().items()
         )
+        report.suspects.extend(
+            encode_suspects(board.crash_suspects, seconds_since_boot())
+        )
         report.lingering.extend(
             Lingering(server_id=server_id, in_flight=count)
             for server_id, count in board.router.lingering_by_server().items()
--- a/copperyard/forwarding.py
+++ b/copperyard/forwarding.py
@@ -11,6 +11,7 @@
 from copperyard.blackboard import ProxyBoard
 from copperyard.claim_manager import ClaimManager, GrantedClaim
 from copperyard.clock import seconds_since_boot
+from copperyard.crash_reports import CrashReports
 from copperyard.exceptions import InvariantError
 from copperyard.exchanges import StreamedResponse
 from copperyard.hedging import HedgedAttempt, HedgeScheduler
@@ -80,7 +81,8 @@
         self._claims = claims
         self._hedges = hedges
         self._tasks = tasks
-        self._runner = AttemptRunner(board, slots, loans)
+        self._crashes = CrashReports(board, tasks)
+        self._runner = AttemptRunner(board, slots, loans, self._crashes)
         self._budgets_by_service: dict[str, RetryBudget] = {}
 
     async def forward(
@@ -115,6 +117,7 @@
         times: '_RequestTimes',
     ) -> FinalOutcome:
         refusal = self._check_admission(request)
+        refusal = refusal or self._crashes.find_refusal(request, body)
         if refusal is not None:
             return refusal
         slot = await self._acquire_slot(request, times.deadline)
@@ -176,7 +179,7 @@
             retry_level=request.retry_level,
         )
         self._get_budget(request.service).count_request(seconds_since_boot())
-        get_conditions = partial(self._get_conditions, request.service)
+        get_conditions = partial(self._get_conditions, request, body)
         while True:
             attempt = self._create_attempt(request, body, get_conditions)
             decision = await attempt.run(slot, progress)
@@ -258,14 +261,17 @@
 
     def _get_conditions(
         self,
-        service: str,
+        request: CallerRequest,
+        body: bytes,
         progress: RequestProgress,
     ) -> RetryConditions:
         now = seconds_since_boot()
+        service = request.service
         return RetryConditions(
             now=now,
             has_token=self._get_budget(service).has_token(now),
             has_other_server=bool(progress.tried_server_ids),
+            is_suspected=self._crashes.is_suspected(request, body),
             expected_s=self._board.router.smoothed_latency_s(service),
         )
 
--- a/copperyard/heartbeat_controller.py
+++ b/copperyard/heartbeat_controller.py
@@ -11,6 +11,7 @@
 from copperyard.messages_pb2 import HeartbeatRequest
 from copperyard.peers import CALL_TIMEOUT_S, PEER_ERRORS, PeerChannels
 from copperyard.records import Member
+from copperyard.suspect_codec import encode_suspects, merge_suspects
 
 
 async def send_heartbeats(board: AgentBoard, channels: PeerChannels) -> None:
@@ -27,6 +28,7 @@
             started_at,
         )
         board.heartbeats.prune_peers(board.history, started_at)
+        board.crash_suspects.forget_old(started_at)
         await send_heartbeat_round(board, channels)
         board.changed.fire()
         elapsed_s = seconds_since_boot() - started_at
@@ -43,6 +45,7 @@
     """
     now = seconds_since_boot()
     request = encode_request(build_status(board, now))
+    request.suspects.extend(encode_suspects(board.crash_suspects, now))
     # A reply is only valid for the incarnation that sent the heartbeat. If a
     # new incarnation replaces it meanwhile, with a new table on the board, the
     # reply still goes to the old table.
@@ -78,5 +81,8 @@
         board.metrics.count('heartbeat.failed')
         channels.close(member.agent_address)
         return
+    now = seconds_since_boot()
+    if merge_suspects(board.crash_suspects, reply.suspects, now):
+        board.changed.fire()
     status, promise_s = decode_reply(reply)
-    table.receive_reply(status, promise_s, sent_at, seconds_since_boot())
+    table.receive_reply(status, promise_s, sent_at, now)
--- a/copperyard/load_probing.py
+++ b/copperyard/load_probing.py
@@ -1,6 +1,7 @@
 """Probes: on-demand health checks, shared by the requests that need them."""
 
 from dataclasses import dataclass, field
+from functools import partial
 from typing import Final
 
 import anyio
@@ -12,6 +13,8 @@
     FailureKind,
     ServerAddress,
 )
+from copperyard.crash_checks import CheckedServer
+from copperyard.crash_suspects import compute_server_key
 from copperyard.entry_board import EntryBoard
 from copperyard.exchanges import BackendPool, ForwardResult, StreamedResponse
 from copperyard.fault_barriers import FaultBarrier
@@ -84,12 +87,18 @@
             self._group.start_soon(self._run, server, probe)
         return probe
 
-    async def find_running(self, server: KnownServer) -> bool | None:
-        """Return whether a server still runs, without recording its load.
+    def describe_check(self, server: KnownServer) -> CheckedServer:
+        """Return how to find out whether a server still runs.
 
         :param server: the server.
-        :returns: ``None`` if it does not say so in time.
         """
+        return CheckedServer(
+            server.report.server_id,
+            compute_server_key(server.report),
+            partial(self._find_running, server),
+        )
+
+    async def _find_running(self, server: KnownServer) -> bool | None:
         board = self._board
         match await self._check(server):
             case AttemptFailure(
--- a/copperyard/request_fingerprints.py
+++ b/copperyard/request_fingerprints.py
@@ -36,18 +36,20 @@
 
 
 def compute_fingerprints(
-    request: CallerRequest, body: bytes, caller_ip: str
+    request: CallerRequest, body: bytes, caller_ip: str, service: str = ''
 ) -> RequestFingerprints:
     """Return the fingerprints of a request.
 
     :param request: the request.
     :param body: its whole body.
     :param caller_ip: IP address of the caller.
+    :param service: name of the service, unless host and path tell it.
     """
     host = dict(request.headers).get(_HOST, b'')
     path = request.target.partition(b'?')[0]
     digest = hashlib.blake2b(digest_size=FINGERPRINT_BYTES - 1)
-    for part in (request.method.encode(), host, path, body):
+    names = (service.encode(), request.method.encode())
+    for part in (*names, host, path, body):
         # The length keeps parts apart that only together are the same.
         digest.update(b'%d:' % len(part))
         digest.update(memoryview(part)[:HASHED_BODY_MAX_BYTES])
--- a/copperyard/requests.py
+++ b/copperyard/requests.py
@@ -94,6 +94,7 @@
     :param headers: the caller's headers to forward, without hop-by-hop,
         framing and ``Copperyard-`` headers.
     :param content_length: declared length of the body, ``None`` if unknown.
+    :param caller_ip: IP address of the caller; empty if unknown.
     """
 
     service: str
@@ -106,6 +107,7 @@
     target: bytes
     headers: tuple[Header, ...]
     content_length: int | None
+    caller_ip: str = ''
 
     @property
     def is_bodyless(self) -> bool:
@@ -166,6 +168,7 @@
         target=_join_target(scope),
         headers=forwarded,
         content_length=_read_content_length(reader),
+        caller_ip=_read_caller_ip(scope),
     )
     if reader.refusal is None:
         return Success(request)
@@ -364,6 +367,11 @@
     return length
 
 
+def _read_caller_ip(scope: Scope) -> str:
+    client = scope.get('client')
+    return str(client[0]) if client else ''
+
+
 def _read_number(value: bytes) -> int | None:
     # `bytes.isdigit` accepts only ASCII digits; `int` also accepts signs,
     # spaces and underscores. The length limit keeps the conversion cheap.
--- a/copperyard/retries.py
+++ b/copperyard/retries.py
@@ -161,6 +161,7 @@
     :param now: ``CLOCK_BOOTTIME`` in seconds.
     :param has_token: result of ``RetryBudget.has_token``.
     :param has_other_server: whether another backend server may be available.
+    :param is_suspected: whether servers have ended under the request.
     :param expected_s: usual duration of an attempt in seconds; no attempt is
         started if less time remains before the deadline.
     :param retry_after_s: minimum retry-after time for the caller in seconds; 0
@@ -170,6 +171,7 @@
     now: float
     has_token: bool
     has_other_server: bool
+    is_suspected: bool = False
     expected_s: float = 0.0
     retry_after_s: float = 0.0
 
@@ -399,7 +401,9 @@
     progress: RequestProgress,
     conditions: RetryConditions,
 ) -> bool:
-    if progress.retry_level or not _is_safe_to_repeat(progress):
+    if progress.retry_level or conditions.is_suspected:
+        return False
+    if not _is_safe_to_repeat(progress):
         return False
     remaining_s = progress.deadline - conditions.now
     has_time = remaining_s > conditions.expected_s
--- a/tests/scenarios/harness.py
+++ b/tests/scenarios/harness.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import random
 import signal
 from contextlib import AsyncExitStack, suppress
 from pathlib import Path
@@ -11,8 +12,10 @@
 from tests.http_client import CONNECTION_ERRORS, HttpClient, seconds_since_boot
 from tests.scenarios.callers import send_load
 from tests.scenarios.history import (
+    CRASH_ID_PREFIX,
     BecameCold,
     ColdReport,
+    Crash,
     EntryDisruption,
     History,
     Overload,
@@ -27,6 +30,7 @@
 from tests.scenarios.operators import Operators
 from tests.scenarios.processes import Processes, find_free_addresses
 from tests.scenarios.relay import Relay
+from tests.standins.backend_server import CRASH_PATH
 
 READY_TIMEOUT_S: Final = 25.0
 SAMPLE_INTERVAL_S: Final = 0.5
@@ -300,6 +304,8 @@
         """Inject a fault after a delay, and end it after its duration."""
         await asyncio.sleep(delay_s)
         match fault.kind:
+            case 'crash':
+                await self._repeat_crashing_request(fault)
             case 'behave':
                 await self._change_behaviour(fault)
             case 'leave':
@@ -398,6 +404,29 @@
             and ('log' if source == peer else 'peers') in side
         ]
 
+    async def _repeat_crashing_request(self, fault: Fault) -> None:
+        chooser = random.Random(self.scenario.title)
+        service = self.scenario.services[0].name
+        async with asyncio.TaskGroup() as tasks:
+            for number in range(int(fault.rate * fault.span)):
+                entry = chooser.choice(list(self.entries.values()))
+                headers = {
+                    'Copperyard-Service': service,
+                    'Copperyard-Request-Id': f'{CRASH_ID_PREFIX}{number}',
+                    'Copperyard-Deadline-Ms': '1000',
+                }
+                tasks.create_task(
+                    self._send_crashing_request(entry['caller'], headers)
+                )
+                await asyncio.sleep(1 / fault.rate)
+
+    async def _send_crashing_request(
+        self, address: str, headers: dict[str, str]
+    ) -> None:
+        # The entry may be down.
+        with suppress(*CONNECTION_ERRORS):
+            await self._client.send(address, 'GET', CRASH_PATH, headers)
+
     async def _change_behaviour(self, fault: Fault) -> None:
         address = self.servers[fault.server]
         if fault.mode == 'cold':
@@ -434,6 +463,8 @@
             self.events.append(Run(server=number, **run))
         for overload in journal['overloads']:
             self.events.append(Overload(server=number, **overload))
+        for crash in journal['crashes']:
+            self.events.append(Crash(server=number, **crash))
         for reported_at in journal['cold_reports']:
             self.events.append(ColdReport(number, reported_at))
 
--- a/tests/standins/backend_server.py
+++ b/tests/standins/backend_server.py
@@ -35,6 +35,8 @@
 import defopt
 
 PROBE_EXECUTION_S = 0.005
+#: A request to this path ends the server that runs it.
+CRASH_PATH = '/crash'
 RESET_ON_CLOSE = struct.pack('ii', 1, 0)
 REASON_PHRASES = {200: b'OK', 411: b'Length Required', 503: b'Unavailable'}
 
@@ -286,6 +288,8 @@
         self.connections: set[Connection] = set()
         self.cold_until = 0.0
         self.overloads: list[Overload] = []
+        # Time and request id of each crash of a request to ``CRASH_PATH``.
+        self.crashes: list[dict[str, object]] = []
         # When responses that report the server as cold were sent.
         self.cold_report_times: list[float] = []
         self.probe_count = 0
@@ -440,6 +444,14 @@
         return work_s * self.faults.slow
 
     def _complete(self, exchange: Exchange) -> None:
+        if exchange.path == CRASH_PATH:
+            crash = {
+                'at': seconds_since_boot(),
+                'request_id': exchange.request_id,
+            }
+            self.crashes.append(crash)
+            self.crash(self.options.refuse_s)
+            return
         self._end_run(exchange, 'done')
         self._execute_queued()
         if exchange.connection.silent_mode:
@@ -641,6 +653,7 @@
             'runs': [asdict(run) for run in self.runs[first_index:]],
             'next': len(self.runs),
             'overloads': [asdict(item) for item in self.overloads],
+            'crashes': self.crashes,
             'cold_reports': self.cold_report_times,
             'probes': self.probe_count,
             'shed': self.shed_count,
--- a/tests/test_crash_suspects.py
+++ b/tests/test_crash_suspects.py
@@ -236,7 +236,8 @@
     pool = HealthPool(*results)
     async with anyio.create_task_group() as group:
         prober = LoadProber(board, pool, group)
-        yield CrashChecker(board, prober, group), pool
+        checker = CrashChecker(board.record_crash, board.metrics, group)
+        yield checker, prober, pool
 
 
 @pytest.mark.parametrize(
@@ -266,10 +267,11 @@
     """Guards against a lost connection that is taken for a lost server."""
     board = build_board('s1', clock=seconds_since_boot)
     known = board.server_table.servers_by_id['s1']
-    async with run_checker(board, *results) as (checker, pool):
+    async with run_checker(board, *results) as (checker, prober, pool):
         for number in range(5):
             checker.start(
-                known, BrokenRequest(f'q{number}', FINGERPRINTS, 1.0, 1.1)
+                prober.describe_check(known),
+                BrokenRequest(f'q{number}', FINGERPRINTS, 1.0, 1.1),
             )
     assert pool.count <= CHECKS_MAX
     assert board.crash_suspects.is_empty != is_crash
