Count the framing of chunks towards the buffer limit of a response

Cause: a response is buffered up to 1 MiB of body. A body of one-byte chunks is six times as long on the wire, and parsing it took 0.25 to 0.30 s of CPU time before it was streamed, three runs, of a deadline of 0.4 s; with another process on the core the deadline came first. The pool and the test's server are not the cause. A caller sees the same: the response is given up with 504 although its head and most of its body have arrived, and the process is busy with it.

Change: received bytes count, so such a body is streamed after a sixth of that. Ordinary bodies are buffered as before, less the framing of their chunks.

test_body_of_small_chunks_is_streamed_by_its_received_bytes failed before, three runs of three, and passes.

--- a/copperyard/exchanges.py
+++ b/copperyard/exchanges.py
@@ -141,6 +141,7 @@
         self._is_finished = False
         self._parts: list[bytes] = []
         self._written_bytes = 0
+        self._received_bytes = 0
         self._sent_at: float | None = None
         self._has_response_begun = False
         self._timeout_kind = FailureKind.EXPIRED
@@ -345,15 +346,19 @@
         connection: Connection,
         head: ResponseHead,
     ) -> ForwardResult:
-        size = 0
-        while max(size, head.length) <= BUFFER_LIMIT_BYTES:
+        received_before = self._received_bytes
+        # The framing of chunks counts too, since parsing many small ones takes
+        # longer than receiving them.
+        while (
+            max(self._received_bytes - received_before, head.length)
+            <= BUFFER_LIMIT_BYTES
+        ):
             part = await self._next_part(connection)
             if isinstance(part, AttemptFailure):
                 return part
             if not part:
                 return self._build_answered(head)
             self._parts.append(part)
-            size += len(part)
         return StreamedResponse(head, self)
 
     async def _next_part(
@@ -378,6 +383,7 @@
             # The response timeout ends here: from now on, only the caller's
             # deadline bounds the response.
             self._set_timeout()
+        self._received_bytes += len(content)
         self._parser.feed(content)
 
     def _release(self, connection: Connection) -> None:
--- a/tests/test_endless_bytes.py
+++ b/tests/test_endless_bytes.py
@@ -9,7 +9,7 @@
 import socket
 import struct
 import tracemalloc
-from contextlib import asynccontextmanager, contextmanager
+from contextlib import asynccontextmanager, contextmanager, suppress
 from functools import partial
 from types import SimpleNamespace
 
@@ -364,6 +364,29 @@
             assert found_resets == resets
 
 
+async def test_body_of_small_chunks_is_streamed_by_its_received_bytes():
+    """Guards against giving up a response while its chunks are still parsed.
+
+    A megabyte of one-byte chunks is six megabytes on the wire and took most of
+    the deadline. The server sends a third of that and waits.
+    """
+    async with running_pool() as pool:
+
+        async def serve(reader, writer):
+            await reader.readuntil(b'\r\n\r\n')
+            writer.write(CHUNKED + b'1\r\na\r\n' * 350_000)
+            with suppress(OSError):
+                await reader.read()
+            writer.transport.abort()
+
+        listener = await asyncio.start_server(serve, '127.0.0.1', 0)
+        address = find_address(listener)
+        response = await forward(pool, SimpleNamespace(address=address))
+        listener.close()
+        assert isinstance(response, StreamedResponse)
+        response.close()
+
+
 async def test_streamed_response_nobody_reads_ends_at_its_deadline():
     """Guards against a connection held by a caller that does not read.
 
