--- a/tests/test_operations_walks.py
+++ b/tests/test_operations_walks.py
@@ -1,6 +1,7 @@
 """Diagnoses described on the operations page, on logs of an entry process."""
 
 import asyncio
+import re
 
 import pytest
 
@@ -98,3 +99,53 @@
     assert 'request_late' in line
     assert 'server=s1' in line
     assert 400 <= int(line.rpartition('took_ms=')[2]) < 900
+
+
+async def test_explain_shows_that_servers_named_a_limit(tmp_path, capsys):
+    """Guards against a refusal whose cause, the servers' limit, is not told."""
+    server = PlatformServerStandIn('s1')
+    server.named_limit = '0.5'
+    async with (
+        run_platform(server) as platform,
+        run_entries(tmp_path, platform.store_address, IP) as (entry,),
+    ):
+        answers = [await entry.request(f'limit{number}') for number in range(2)]
+    assert [answer[:12] for answer in answers] == [
+        b'HTTP/1.1 200',
+        b'HTTP/1.1 503',
+    ]
+    assert b'retry-after: ' in answers[1]
+    (line,) = explain(tmp_path, capsys, 'limit1')
+    assert 'reason=rate_limited' in line
+    assert '0 of 1 servers usable, 1 at their limit' in line
+
+
+async def test_explain_shows_which_request_ended_servers(tmp_path, capsys):
+    """Guards against a caller that cannot be found after servers have ended.
+
+    The fingerprint of the refused request selects all that came before.
+    """
+    servers = [PlatformServerStandIn(f's{number}') for number in range(5)]
+    async with (
+        run_platform(*servers) as platform,
+        run_entries(tmp_path, platform.store_address, IP) as (entry,),
+    ):
+        for server in servers:
+            server.crash_path = '/read/crash'
+            server.down_s = 30.0
+        for number in range(4):
+            answer = await entry.request(f'end{number}', '/read/crash')
+            await asyncio.sleep(0.5)
+    assert answer.startswith(b'HTTP/1.1 503')
+    lines = explain(tmp_path, capsys, 'end3')
+    assert 'reason=quarantined' in lines[-1]
+    quarantined = next(line for line in lines if 'request_quarantined' in line)
+    assert 'caller=127.0.0.1' in quarantined
+    assert 'path=/read/crash' in quarantined
+    fingerprint = re.search('[0-9a-f]{32}', lines[-1])[0]
+    ended = [
+        line
+        for line in explain(tmp_path, capsys, fingerprint)
+        if 'server_ended_under_request' in line
+    ]
+    assert len(ended) == 3
