Refuse as rate_limited also where servers name a limit of 0

Found by reading: the limits of the usable servers were added up, and a sum of 0 counted as no limit, so callers were told no_server and to come back after 0.2 s although the servers had asked for no requests.

test_refusal_of_a_limited_service_comes_at_once now runs with a limit of 0 too, checks the reason and the longest Retry-After; with 0 it failed before.

--- a/copperyard/picking.py
+++ b/copperyard/picking.py
@@ -11,6 +11,7 @@
 from copperyard.entry_board import EntryBoard
 from copperyard.load_probing import LoadProber, Probe
 from copperyard.outcomes import NotRun, RefusalReason
+from copperyard.rate_limits import RATE_MIN_PER_S
 from copperyard.server_loads import ServerLoad
 from copperyard.server_table import KnownServer
 
@@ -221,19 +222,20 @@
 
     def _refuse_without_candidates(self, state: _PickState) -> NotRun:
         now = self._board.clock()
-        rate_per_s = sum(
+        limits = [
             limit.requests_per_s or 0
             for server in self._list_available(state, now)
             if (limit := self._board.rate_limits.find(server.report))
-        )
+        ]
         reason = RefusalReason.NO_SERVER
         retry_after_s = NO_SERVER_RETRY_AFTER_S
-        if rate_per_s:
+        if limits:
             reason = RefusalReason.RATE_LIMITED
             # On average, the servers take the next request by then.
             retry_after_s = min(
                 RATE_LIMITED_RETRY_AFTER_MAX_S,
-                self._draw_retry_after_s() + 1 / rate_per_s,
+                self._draw_retry_after_s()
+                + 1 / max(RATE_MIN_PER_S, sum(limits)),
             )
         return NotRun(reason, retry_after_s, self._describe(state, ()))
 
--- a/tests/test_rate_limits.py
+++ b/tests/test_rate_limits.py
@@ -21,7 +21,11 @@
 from copperyard.entry_peers import LISTED_LIMITS, EntryPeers
 from copperyard.load_probing import LoadProber
 from copperyard.outcomes import Answered, NotRun, RefusalReason
-from copperyard.picking import PickOptions, ServerPicker
+from copperyard.picking import (
+    RATE_LIMITED_RETRY_AFTER_MAX_S,
+    PickOptions,
+    ServerPicker,
+)
 from copperyard.platform import read_rate_limit
 from copperyard.rate_limits import (
     CONFIRM_AFTER_S,
@@ -107,13 +111,16 @@
     assert not pool.sent
 
 
-async def test_refusal_of_a_limited_service_comes_at_once():
+@pytest.mark.parametrize('limit', ['0.5', '0'])
+async def test_refusal_of_a_limited_service_comes_at_once(limit):
     """Guards against requests that wait although no server will take them."""
     board = build_board('s1', clock=seconds_since_boot)
-    await send(board, build_answer('0.5'))
+    await send(board, build_answer(limit))
     began_at = seconds_since_boot()
     outcome, _ = await send(board, build_answer(), target_latency_s=5.0)
     assert isinstance(outcome, NotRun)
+    assert outcome.reason is RefusalReason.RATE_LIMITED
+    assert outcome.retry_after_s <= RATE_LIMITED_RETRY_AFTER_MAX_S
     assert seconds_since_boot() - began_at < 0.1
 
 
