Share the refusal of quarantined requests between entry and proxy

Both built the same refusal and log line, and both boards recorded a crash under each fingerprint. quarantines.find_quarantine_refusal and CrashSuspects.record_request_crash replace the copies; no behaviour changes.

--- a/copperyard/blackboard.py
+++ b/copperyard/blackboard.py
@@ -297,10 +297,9 @@
         :param crash: when the request was sent and its connection ended.
         :returns: whether this was not known yet.
         """
-        is_new = [
-            self.crash_suspects.record_crash(fingerprint, server_key, crash)
-            for fingerprint in fingerprints.all
-        ]
-        if any(is_new):
+        is_new = self.crash_suspects.record_request_crash(
+            fingerprints, server_key, crash
+        )
+        if is_new:
             self.changed.fire()
-        return any(is_new)
+        return is_new
--- a/copperyard/crash_reports.py
+++ b/copperyard/crash_reports.py
@@ -16,8 +16,8 @@
 from copperyard.crash_checks import BrokenRequest, CheckedServer, CrashChecker
 from copperyard.crash_suspects import digest_server_name
 from copperyard.exchanges import ForwardResult
-from copperyard.logs import log_event
-from copperyard.outcomes import Answered, NotRun, RefusalReason
+from copperyard.outcomes import Answered, NotRun
+from copperyard.quarantines import find_quarantine_refusal
 from copperyard.request_fingerprints import (
     RequestFingerprints,
     compute_fingerprints,
@@ -55,28 +55,12 @@
         suspects = self._board.crash_suspects
         if suspects.is_empty:
             return None
-        now = seconds_since_boot()
-        fingerprints = _compute_fingerprints(request, body)
-        remaining_s = max(
-            suspects.find_quarantine_s(fingerprint, now)
-            for fingerprint in fingerprints.all
-        )
-        if not remaining_s:
-            return None
-        content = fingerprints.content.hex()
-        log_event(
-            'request_quarantined',
-            request=request.request_id,
-            fingerprint=content,
-            caller=request.caller_ip,
-            method=request.method,
-            path=request.target.partition(b'?')[0].decode('latin-1'),
-            remaining_s=round(remaining_s),
-        )
-        return NotRun(
-            RefusalReason.QUARANTINED,
-            remaining_s,
-            f'servers have ended under requests {content}',
+        return find_quarantine_refusal(
+            suspects,
+            request,
+            _compute_fingerprints(request, body),
+            request.caller_ip,
+            seconds_since_boot(),
         )
 
     def is_suspected(self, request: CallerRequest, body: bytes) -> bool:
@@ -132,10 +116,9 @@
         suspects = self._board.crash_suspects
         if suspects.is_empty:
             return
-        now = seconds_since_boot()
-        for fingerprint in _compute_fingerprints(request, body).all:
-            if suspects.record_answer(fingerprint, now):
-                self._board.changed.fire()
+        fingerprints = _compute_fingerprints(request, body)
+        if suspects.record_request_answer(fingerprints, seconds_since_boot()):
+            self._board.changed.fire()
 
     async def _find_running(self, server: ServerAddress) -> bool | None:
         pool = self._board.pool
--- a/copperyard/crash_suspects.py
+++ b/copperyard/crash_suspects.py
@@ -5,7 +5,10 @@
 from dataclasses import dataclass, field
 from typing import Final
 
-from copperyard.request_fingerprints import is_same_scope
+from copperyard.request_fingerprints import (
+    RequestFingerprints,
+    is_same_scope,
+)
 from copperyard.server_table import ServerReport
 
 # Servers that have to end under a request before it is quarantined. A request
@@ -172,6 +175,41 @@
             return 0.0
         return max(0.0, suspect.last_crash_at + QUARANTINE_S - now)
 
+    def record_request_crash(
+        self,
+        fingerprints: RequestFingerprints,
+        server_key: bytes,
+        crash: Crash,
+    ) -> bool:
+        """Record that a server has ended under a request of this process.
+
+        :param fingerprints: fingerprints of the request.
+        :param server_key: key of the server.
+        :param crash: when the request was sent and its connection ended.
+        :returns: whether this was not known yet.
+        """
+        is_new = [
+            self.record_crash(fingerprint, server_key, crash)
+            for fingerprint in fingerprints.all
+        ]
+        return any(is_new)
+
+    def record_request_answer(
+        self, fingerprints: RequestFingerprints, answered_at: float
+    ) -> bool:
+        """Record that a server has run a request of this process and survived.
+
+        :param fingerprints: fingerprints of the request.
+        :param answered_at: when the answer arrived, ``CLOCK_BOOTTIME`` in
+            seconds.
+        :returns: as ``record_answer``.
+        """
+        is_cleared = [
+            self.record_answer(fingerprint, answered_at)
+            for fingerprint in fingerprints.all
+        ]
+        return any(is_cleared)
+
     def may_retry(self, fingerprint: bytes) -> bool:
         """Return whether a request may be sent to a further server.
 
--- a/copperyard/dispatching.py
+++ b/copperyard/dispatching.py
@@ -38,6 +38,7 @@
     ServerPicker,
 )
 from copperyard.platform import PLATFORM_DIALECT
+from copperyard.quarantines import find_quarantine_refusal
 from copperyard.request_fingerprints import (
     RequestFingerprints,
     compute_fingerprints,
@@ -291,30 +292,12 @@
         suspects = self._board.crash_suspects
         if suspects.is_empty:
             return False
-        fingerprints = state.fingerprints
-        remaining_s = max(
-            suspects.find_quarantine_s(fingerprint, now)
-            for fingerprint in fingerprints.all
+        refusal = find_quarantine_refusal(
+            suspects, state.request, state.fingerprints, state.caller_ip, now
         )
-        if not remaining_s:
+        if refusal is None:
             return False
-        fingerprint = fingerprints.content.hex()
-        log_event(
-            'request_quarantined',
-            request=state.request.request_id,
-            fingerprint=fingerprint,
-            caller=state.caller_ip,
-            method=state.request.method,
-            path=state.request.target.partition(b'?')[0].decode('latin-1'),
-            remaining_s=round(remaining_s),
-        )
-        state.record_failure(
-            NotRun(
-                RefusalReason.QUARANTINED,
-                remaining_s,
-                f'servers have ended under requests {fingerprint}',
-            )
-        )
+        state.record_failure(refusal)
         return True
 
     def _may_retry(
--- a/copperyard/entry_board.py
+++ b/copperyard/entry_board.py
@@ -344,23 +344,21 @@
         :param crash: when the request was sent and its connection ended.
         :returns: whether this was not known yet.
         """
-        is_new = [
-            self.crash_suspects.record_crash(fingerprint, server_key, crash)
-            for fingerprint in fingerprints.all
-        ]
-        if any(is_new):
+        is_new = self.crash_suspects.record_request_crash(
+            fingerprints, server_key, crash
+        )
+        if is_new:
             self.has_urgent_news.set()
-        return any(is_new)
+        return is_new
 
     def record_survival(self, fingerprints: RequestFingerprints) -> None:
         """Record that a server has run a request of this entry and survived.
 
         :param fingerprints: fingerprints of the request.
         """
-        now = self.clock()
-        for fingerprint in fingerprints.all:
-            if self.crash_suspects.record_answer(fingerprint, now):
-                self.has_urgent_news.set()
+        suspects = self.crash_suspects
+        if suspects.record_request_answer(fingerprints, self.clock()):
+            self.has_urgent_news.set()
 
     def forget_old_facts(self) -> None:
         """Drop limits, crashes and answers that nothing needs any more."""
