Skip the checks of limits while no server names one

Each pick looks at every server of a service, several times for a request. Found by reading: the load of each was looked up twice more, and the limit of each searched for in an empty table. The load is looked up once, and an empty table is asked for first. No behaviour changes; the tests of limits and picking pass.

--- a/copperyard/entry_board.py
+++ b/copperyard/entry_board.py
@@ -296,7 +296,7 @@
         :param server: the server.
         :param now: ``CLOCK_BOOTTIME`` in seconds.
         """
-        return self.rate_limits.may_send(
+        return self.rate_limits.is_empty or self.rate_limits.may_send(
             server.report, self.settings.ip, self.entry_ips, now
         )
 
--- a/copperyard/picking.py
+++ b/copperyard/picking.py
@@ -224,7 +224,7 @@
         now = self._board.clock()
         limits = [
             limit.requests_per_s or 0
-            for server in self._list_available(state, now)
+            for server, _ in self._list_available(state, now)
             if (limit := self._board.rate_limits.find(server.report))
         ]
         reason = RefusalReason.NO_SERVER
@@ -299,23 +299,25 @@
         now = self._board.clock()
         return [
             self._build_candidate(server, state, now)
-            for server in self._list_available(state, now)
-            if self._may_send(server, now)
+            for server, load in self._list_available(state, now)
+            if self._may_send(server, load, now)
         ]
 
     def _list_available(
         self, state: _PickState, now: float
-    ) -> Iterator[KnownServer]:
+    ) -> Iterator[tuple[KnownServer, ServerLoad]]:
         board = self._board
         for server in board.list_servers(state.service, now):
+            load = board.find_load(server)
             is_excluded = server.report.server_id in state.excluded_ids
-            if not is_excluded and board.find_load(server).is_available(now):
-                yield server
+            if not is_excluded and load.is_available(now):
+                yield server, load
 
-    def _may_send(self, server: KnownServer, now: float) -> bool:
+    def _may_send(
+        self, server: KnownServer, load: ServerLoad, now: float
+    ) -> bool:
         board = self._board
-        is_cold = board.find_load(server).is_cold(now)
-        if is_cold and not board.may_send_to_cold(server, now):
+        if load.is_cold(now) and not board.may_send_to_cold(server, now):
             return False
         return board.may_send_within_limit(server, now)
 
@@ -346,12 +348,13 @@
 
         The server may be slow, so the request must be one that can be hedged.
         """
+        limits = self._board.rate_limits
         options = state.options
-        if options.is_hedge or options.is_single_attempt:
+        if limits.is_empty or options.is_hedge or options.is_single_attempt:
             return False
         if not self._board.find_load(server).is_available(now):
             return False
-        return self._board.rate_limits.needs_confirmation(server.report, now)
+        return limits.needs_confirmation(server.report, now)
 
     async def _probe_servers(self, state: _PickState) -> bool:
         chosen = self._choose_servers_to_probe(state)
--- a/copperyard/rate_limits.py
+++ b/copperyard/rate_limits.py
@@ -56,6 +56,11 @@
         self._limits_by_id: dict[str, NamedLimit] = {}
         self._sent_at_by_id: dict[str, float] = {}
 
+    @property
+    def is_empty(self) -> bool:
+        """Return whether no server has named a limit, the usual case."""
+        return not self._limits_by_id
+
     def record_response(
         self,
         report: ServerReport,
