--- a/tests/entry_processes.py
+++ b/tests/entry_processes.py
@@ -44,7 +44,9 @@
 class Entry:
     """An entry process, and a client for its interfaces."""
 
-    def __init__(self, ip, folder, store, zone='a'):
+    def __init__(
+        self, ip, folder, store, zone='a', launcher='copperyard.launcher'
+    ):
         self.ip = ip
         self.client = HttpClient()
         self._path = folder / f'{ip}.toml'
@@ -60,7 +62,7 @@
             ),
         )
         self.process = subprocess.Popen(
-            [sys.executable, '-m', 'copperyard.launcher', 'entry'],
+            [sys.executable, '-m', launcher, 'entry'],
             env={**os.environ, 'COPPERYARD_CONFIG': str(self._path)},
             stdout=(folder / f'{ip}.log').open('wb'),
             stderr=subprocess.STDOUT,
@@ -128,9 +130,9 @@
 
 
 @asynccontextmanager
-async def run_entries(folder, store, *ips):
+async def run_entries(folder, store, *ips, launcher='copperyard.launcher'):
     """Run ready entry processes, and kill them at the end."""
-    started = [Entry(ip, folder, store) for ip in ips]
+    started = [Entry(ip, folder, store, launcher=launcher) for ip in ips]
     try:
         for entry in started:
             assert await wait_until(entry.is_ready, 15)
--- a/tests/scenarios/checker.py
+++ b/tests/scenarios/checker.py
@@ -16,6 +16,7 @@
     Crash,
     EntryDisruption,
     History,
+    LinksCut,
     NamedLimit,
     Overload,
     PlannedStop,
@@ -38,6 +39,9 @@
 LIMIT_SLACK: Final = 5
 #: Servers that a request may end before it must not be sent any more.
 CRASHES_ALLOWED: Final = 3
+#: The users' rule on entries that are cut from the backend servers: first
+#: attempts there are served at least this share as often as at the others.
+CUT_ENTRY_SHARE: Final = 2 / 3
 #: Refusals without a retry time, because the same request can never succeed.
 _PERMANENT_REASONS: Final = frozenset(
     ('bad_request', 'unknown_service', 'body_too_large'),
@@ -215,6 +219,39 @@
         )
 
 
+def check_cut_entries(
+    history: History, expectation: Expectation
+) -> Iterator[str]:
+    """Check that entries cut from the servers answer as often as the others.
+
+    Counted are the first attempts that are sent while some entries are cut,
+    from the bound after the begin of the cut on.
+    """
+    cuts = tuple(_select(history, LinksCut))
+    first_calls: dict[int, Call] = {}
+    for call in sorted(_select(history, Call), key=lambda call: call.sent_at):
+        first_calls.setdefault(call.request_number, call)
+    answered: dict[bool, list[bool]] = {True: [], False: []}
+    for call in first_calls.values():
+        cut_entries = {
+            cut.entry
+            for cut in cuts
+            if cut.since + expectation.bound <= call.sent_at
+            and call.ended_at <= cut.until
+        }
+        if cut_entries:
+            is_answered = call.outcome == 'answered'
+            answered[call.entry in cut_entries].append(is_answered)
+    cut, others = answered[True], answered[False]
+    if not (cut and others):
+        yield 'no first attempts at entries of both kinds'
+    elif sum(cut) / len(cut) < CUT_ENTRY_SHARE * sum(others) / len(others):
+        yield (
+            f'entries cut from the servers answered {sum(cut)} of {len(cut)} '
+            f'first attempts, the others {sum(others)} of {len(others)}'
+        )
+
+
 def check_probe_budget(history: History, _: Expectation) -> Iterator[str]:
     """Check that no minute has more probes of a server than its budget."""
     for server, samples in _group_samples(history).items():
@@ -414,6 +451,7 @@
     'cold_rate': check_cold_rate,
     'named_limits': check_named_limits,
     'crash_budget': check_crash_budget,
+    'cut_entries_serve': check_cut_entries,
     'probe_budget': check_probe_budget,
     'domain_quiet': check_no_new_work,
     'server_quiet': check_no_new_work,
--- a/tests/scenarios/history.py
+++ b/tests/scenarios/history.py
@@ -131,6 +131,15 @@
     request_id: str
 
 
+@dataclass(frozen=True)
+class LinksCut:
+    """An entry could not reach the backend servers."""
+
+    entry: int
+    since: float
+    until: float
+
+
 @dataclass(frozen=True)
 class Withdrawal:
     """A failure domain or a backend server is withdrawn from service.
--- a/tests/scenarios/language.py
+++ b/tests/scenarios/language.py
@@ -23,6 +23,7 @@
     'server_quiet': DEFAULT_BOUND_S,
     'in_force': DEFAULT_BOUND_S,
     'at_once': PROMPT_REFUSAL_S,
+    'cut_entries_serve': DEFAULT_BOUND_S,
 }
 _LIST_RULES: Final = frozenset(('domains', 'operators'))
 _FAULT_RULES: Final = frozenset(
@@ -91,6 +92,8 @@
         to another entry, in parallel and with the same id.
     :param deadline: seconds.
     :param work: seconds that a backend server takes for a request.
+    :param keeps_addresses: whether callers keep the addresses of their first
+        lookup.
     """
 
     callers: int
@@ -100,6 +103,7 @@
     repeated: float = 0.0
     deadline: float = 4.0
     work: float = 0.02
+    keeps_addresses: bool = False
     line: int = field(default=0, compare=False)
 
 
@@ -121,6 +125,7 @@
     server: int = 0
     process: str = ''
     side: str = ''
+    manner_of_cut: str = 'silently'
     mode: str = ''
     span: float = 0.0
     count: int = 0
@@ -233,6 +238,8 @@
 
     def __default__(self, rule: Any, children: Any, meta: Any) -> Any:
         name = str(rule)
+        if name == 'keeps_addresses':
+            return name, True
         line = getattr(meta, 'line', 0)
         if name in _FAULT_RULES:
             return name, dict(children)
--- a/tests/scenarios/platform_callers.py
+++ b/tests/scenarios/platform_callers.py
@@ -88,7 +88,11 @@
             )
 
     async def _choose_address(self, excluded: str) -> str:
-        if seconds_since_boot() > self._cached_lookup[0] or excluded:
+        is_expired = seconds_since_boot() > self._cached_lookup[0]
+        keeps_addresses = (
+            self._stream.keeps_addresses and self._cached_lookup[1]
+        )
+        if (is_expired or excluded) and not keeps_addresses:
             await self._refresh_lookup()
         others = [
             address for address in self._cached_lookup[1] if address != excluded
--- a/tests/scenarios/platform_harness.py
+++ b/tests/scenarios/platform_harness.py
@@ -16,6 +16,7 @@
     Crash,
     EntryDisruption,
     History,
+    LinksCut,
     NamedLimit,
     PlannedStop,
     Run,
@@ -85,6 +86,7 @@
             self._folder,
             platform.store_address,
             domains[(number - 1) % len(domains)],
+            launcher='tests.bound_launcher',
         )
 
     def _kill_entry(self, number: int) -> None:
@@ -147,6 +149,8 @@
                 entry = self.entries[fault.entry]
                 assert await wait_until(entry.is_ready, READY_TIMEOUT_S)
                 end_disruptions(self.events, fault.entry, seconds_since_boot())
+            case 'cut':
+                await self._cut_from_servers(fault)
             case 'kill' | 'freeze' | 'stop' | 'reload':
                 await self._apply_entry_fault(fault)
             case kind:
@@ -232,6 +236,20 @@
     def _record_crash(self, server: int, request_id: str) -> None:
         self.events.append(Crash(server, seconds_since_boot(), request_id))
 
+    async def _cut_from_servers(self, fault: Fault) -> None:
+        if fault.side != 'servers':
+            raise NotImplementedError(f'cut from {fault.side} on the platform')
+        ip = self.entries[fault.entry].ip
+        listeners = [server.listener for server in self.servers.values()]
+        since = seconds_since_boot()
+        until = since + fault.span
+        self.events.append(LinksCut(fault.entry, since, until))
+        for listener in listeners:
+            listener.cut(ip, is_silent=fault.manner_of_cut == 'silently')
+        await asyncio.sleep(fault.span)
+        for listener in listeners:
+            listener.heal(ip)
+
     async def _name_limit(self, fault: Fault) -> None:
         server = self.servers[fault.server]
         started_at = seconds_since_boot()
--- a/tests/standins/platform.py
+++ b/tests/standins/platform.py
@@ -16,6 +16,7 @@
 from tests.http_client import seconds_since_boot
 
 LOOPBACK = '127.0.0.1'
+CUT_POLL_S = 0.02
 
 
 @dataclass(slots=True)
@@ -63,6 +64,8 @@
         self.is_open = False
         self._server = None
         self._writers = set()
+        # IP addresses of callers that are cut off, with whether silently.
+        self._silence_by_ip = {}
 
     async def open(self):
         """Start to listen and return ``ip:port``."""
@@ -80,10 +83,49 @@
         for writer in tuple(self._writers):
             writer.transport.abort()
 
+    def cut(self, ip, *, is_silent):
+        """Drop what a caller sends.
+
+        :param ip: IP address of the caller.
+        :param is_silent: whether its connections stay open; otherwise they are
+            reset.
+        """
+        self._silence_by_ip[ip] = is_silent
+        if not is_silent:
+            self._reset_connections(ip)
+
+    def heal(self, ip):
+        """Serve a caller again; connections from the cut are reset."""
+        self._silence_by_ip.pop(ip)
+        self._reset_connections(ip)
+
+    def _reset_connections(self, ip):
+        for writer in tuple(self._writers):
+            if _find_peer_ip(writer) == ip:
+                writer.transport.abort()
+
+    async def _cross_link(self, ip):
+        """Wait for the end of a cut; its connections are reset then."""
+        if ip not in self._silence_by_ip:
+            return
+        while self._silence_by_ip.get(ip):
+            await asyncio.sleep(CUT_POLL_S)
+        raise ConnectionResetError
+
     async def _serve(self, reader, writer):
         self._writers.add(writer)
+        ip = _find_peer_ip(writer)
+
+        async def handle(request):
+            await self._cross_link(ip)
+            response = await self._handler(request)
+            await self._cross_link(ip)
+            return response
+
         try:
-            while await _handle_next_request(self._handler, reader, writer):
+            if ip in self._silence_by_ip:
+                await self._cross_link(ip)
+            while await _handle_next_request(handle, reader, writer):
                 continue
         except (
             OSError,
@@ -114,6 +156,10 @@
         listener.close()
 
 
+def _find_peer_ip(writer):
+    return writer.get_extra_info('peername')[0]
+
+
 async def _handle_next_request(handler, reader, writer):
     head = (await reader.readuntil(b'\r\n\r\n')).decode('latin-1')
     request_line, *lines = head.rstrip('\r\n').split('\r\n')
--- a/tests/test_checker.py
+++ b/tests/test_checker.py
@@ -15,6 +15,7 @@
     Crash,
     EntryDisruption,
     History,
+    LinksCut,
     NamedLimit,
     Overload,
     PlannedStop,
@@ -558,3 +559,35 @@
     assert events[0] == killed
     end_disruptions(events, 1, 9.0)
     assert _find_violations(events, 'at_once')
+
+
+def _first_calls(entry, sent_at, outcomes):
+    return tuple(
+        _call(
+            request_number=(entry, index),
+            entry=entry,
+            sent_at=sent_at,
+            ended_at=sent_at + 0.1,
+            outcome=outcome,
+        )
+        for index, outcome in enumerate(outcomes)
+    )
+
+
+@pytest.mark.parametrize(
+    ('answered_at_cut', 'sent_at', 'violations'),
+    [(7, 20.0, 0), (6, 20.0, 1), (0, 12.0, 1), (0, 30.0, 1)],
+)
+def test_cut_entries_serve(answered_at_cut, sent_at, violations):
+    """Calls outside the cut do not count, and none at all are a violation."""
+    outcomes = ['answered'] * answered_at_cut
+    outcomes += ['not_run'] * (10 - answered_at_cut)
+    events = (
+        LinksCut(1, 10.0, 25.0),
+        *_first_calls(1, sent_at, outcomes),
+        *_first_calls(2, sent_at, ['answered'] * 10),
+    )
+    history = History(0.0, {}, events)
+    expectation = Expectation(kind='cut_entries_serve', bound=3.0)
+    found = check_history(history, (expectation,))
+    assert len(found) == violations
