Spread the returns of callers that find no server

All callers refused as no_server were told to return after exactly 0.2 s, so those that an entry refused at one moment, as when it lost its links to all servers, came back at one moment. Seen by reading; the new test failed before (all 30 times equal). The time is drawn from half to one and a half times that.

--- a/copperyard/picking.py
+++ b/copperyard/picking.py
@@ -196,9 +196,10 @@
         return self._draw_retry_after_s()
 
     def _draw_retry_after_s(self) -> float:
-        return SATURATED_RETRY_AFTER_S * self._random.uniform(
-            *RETRY_AFTER_JITTER
-        )
+        return SATURATED_RETRY_AFTER_S * self._draw_jitter()
+
+    def _draw_jitter(self) -> float:
+        return self._random.uniform(*RETRY_AFTER_JITTER)
 
     async def _wait_for_free_slot(
         self,
@@ -228,7 +229,7 @@
             if (limit := self._board.rate_limits.find(server.report))
         ]
         reason = RefusalReason.NO_SERVER
-        retry_after_s = NO_SERVER_RETRY_AFTER_S
+        retry_after_s = NO_SERVER_RETRY_AFTER_S * self._draw_jitter()
         if limits:
             reason = RefusalReason.RATE_LIMITED
             # On average, the servers take the next request by then.
--- a/tests/test_picking.py
+++ b/tests/test_picking.py
@@ -220,6 +220,23 @@
     assert max(retry_times_s) - min(retry_times_s) > 0.05
 
 
+async def test_callers_without_a_server_return_at_different_times():
+    """Guards against all refused callers that return at one moment.
+
+    No server responds, as when an entry has lost its links to all of them.
+    """
+    board = build_board('s1', 's2')
+    picker, _ = build_picker(board, {})
+    advance(board)
+    outcomes = [
+        await picker.pick('ledger', (), PickOptions(wait_max_s=0))
+        for _ in range(30)
+    ]
+    assert all(isinstance(outcome, NotRun) for outcome in outcomes)
+    retry_times_s = [outcome.retry_after_s for outcome in outcomes]
+    assert max(retry_times_s) - min(retry_times_s) > 0.05
+
+
 async def test_waiting_requests_are_counted():
     """The gauge counts waiting requests and returns to zero afterwards."""
     board = build_board('s1')
