Forward requests to other entries when the links to servers are lost

Cause: an entry sends requests to servers itself or refuses them. It could not tell its own lost links from servers that fail, told nobody, and lookups went on to name it. Evidence: all health checks on such an entry failed from 0.2 s after the cut on, at servers that answered the other entries all the time.

Change: the entry detects the loss per service, lists it in its heartbeats, and forwards requests over the port for entries to one that reaches the servers, at most one hop. The other entry runs them as its own, so retry budget, cold servers, limits and crashes are counted where the requests are sent. Attempts that wait for a response are given up after a failed check if they may be repeated. Lookups leave out entries that have lost most services. Health checks find the end.

--- a/copperyard/attempt_types.py
+++ b/copperyard/attempt_types.py
@@ -79,6 +79,11 @@
 )
 
 
+# Nothing has come from the server.
+UNREACHED_KINDS: Final = frozenset(
+    (FailureKind.CONNECT_FAILED, FailureKind.RESET, FailureKind.SILENT),
+)
+
 # Kinds that are not listed are not retried on another server.
 RETRY_REASONS: Final[Mapping[FailureKind, RetryReason]] = MappingProxyType(
     {
--- a/copperyard/dispatching.py
+++ b/copperyard/dispatching.py
@@ -1,16 +1,18 @@
 """Dispatch of requests to backend servers, with retries and hedging."""
 
+from collections import defaultdict
 from collections.abc import Callable, Iterator
 from contextlib import ExitStack, contextmanager
-from dataclasses import dataclass, field
-from functools import cached_property
-from typing import Final, TypeAlias
+from dataclasses import replace
+from functools import partial
+from typing import Final
 
 import anyio
 from anyio.abc import TaskGroup
 
 from copperyard.attempt_types import (
     RETRY_REASONS,
+    UNREACHED_KINDS,
     Attempt,
     AttemptFailure,
     FailureKind,
@@ -32,6 +34,7 @@
     Unknown,
     UnknownReason,
 )
+from copperyard.peer_forwarding import PeerForwarder
 from copperyard.picking import (
     SATURATED_RETRY_AFTER_S,
     PickOptions,
@@ -39,10 +42,7 @@
 )
 from copperyard.platform import PLATFORM_DIALECT
 from copperyard.quarantines import find_quarantine_refusal
-from copperyard.request_fingerprints import (
-    RequestFingerprints,
-    compute_fingerprints,
-)
+from copperyard.request_states import DispatchOutcome, RequestState
 from copperyard.requests import CallerRequest
 from copperyard.routes import Route
 from copperyard.server_table import KnownServer
@@ -58,83 +58,13 @@
 URGENT_EXTRA_SLOTS: Final = 1
 # With less time left until the deadline, no response can arrive in time.
 TIME_LEFT_MIN_S: Final = 0.005
+# Failed connections of a request after which another entry is asked: an entry
+# whose open connections live on does not see that its links are lost.
+UNREACHED_SERVERS_MIN: Final = 2
 # Maximum number of servers tried in turn while connections to them fail.
 TRIED_SERVERS_MAX: Final = 5
 
 _SERVER_ERROR: Final = 500
-DispatchOutcome: TypeAlias = Answered | StreamedResponse | NotRun | Unknown
-
-
-@dataclass(kw_only=True)
-class RequestState:
-    """A request and the progress of its attempts.
-
-    :param request: the request as it is sent to servers.
-    :param body: its whole body.
-    :param route: the route that it matched.
-    :param deadline: when the caller gets a response at the latest,
-        ``CLOCK_BOOTTIME`` in seconds.
-    :param caller_ip: IP address of the caller.
-    :param attempts: attempts that have been started, without those that
-        failed before anything was sent.
-    :param tried_server_ids: ids of the servers of all attempts.
-    :param possible_runs: attempts in which the server may have run the
-        request.
-    :param running_loops: attempt loops in progress: the first one and that of
-        the hedge.
-    :param outcome: outcome for the caller, once it is final.
-    :param failure: outcome for the caller if no attempt succeeds.
-    """
-
-    request: CallerRequest
-    body: bytes
-    route: Route
-    deadline: float
-    caller_ip: str = ''
-    attempts: int = 0
-    tried_server_ids: set[str] = field(default_factory=set)
-    possible_runs: int = 0
-    running_loops: int = 0
-    outcome: DispatchOutcome | None = None
-    failure: DispatchOutcome | None = None
-
-    @cached_property
-    def fingerprints(self) -> RequestFingerprints:
-        """Return what identifies the request when it is sent again."""
-        return compute_fingerprints(self.request, self.body, self.caller_ip)
-
-    def set_outcome(self, outcome: DispatchOutcome) -> None:
-        """Set the outcome for the caller unless it is already set."""
-        if self.outcome is None:
-            self.outcome = outcome
-        elif isinstance(outcome, StreamedResponse):
-            outcome.close()
-
-    def record_failure(self, failure: DispatchOutcome) -> None:
-        """Keep the last refusal, or the first failure of another kind."""
-        if self.failure is None or isinstance(self.failure, NotRun):
-            self.failure = failure
-        elif isinstance(failure, StreamedResponse):
-            failure.close()
-
-    def build_fault_outcome(self) -> DispatchOutcome:
-        """Return the outcome for the caller after an unexpected exception.
-
-        A streamed response has been closed by then.
-        """
-        if self.outcome is not None and not isinstance(
-            self.outcome, StreamedResponse
-        ):
-            return self.outcome
-        if self.possible_runs:
-            return Unknown(UnknownReason.INTERNAL_ERROR)
-        return NotRun(RefusalReason.INTERNAL_ERROR)
-
-    def close_responses(self) -> None:
-        """Close the streamed responses that were kept for the caller."""
-        for kept in (self.outcome, self.failure):
-            if isinstance(kept, StreamedResponse):
-                kept.close()
 
 
 def _ignore(server: KnownServer, broken: BrokenRequest) -> None:
@@ -148,6 +78,8 @@
     :param pool: connections to backend servers.
     :param picker: picks the servers.
     :param check_crash: finds out whether a server has ended under a request.
+    :param forwarder: sends requests to other entries when this one does not
+        reach the servers; ``None`` to refuse them.
     """
 
     def __init__(
@@ -156,11 +88,16 @@
         pool: BackendPool,
         picker: ServerPicker,
         check_crash: Callable[[KnownServer, BrokenRequest], None] = _ignore,
+        forwarder: PeerForwarder | None = None,
     ) -> None:
         self._check_crash = check_crash
         self._board = board
         self._pool = pool
         self._picker = picker
+        self._forwarder = forwarder
+        self._waiting_scopes_by_service: defaultdict[
+            str, set[anyio.CancelScope]
+        ] = defaultdict(set)
 
     async def run(self, state: RequestState) -> DispatchOutcome:
         """Send a request until it has an outcome or its deadline passes.
@@ -173,7 +110,10 @@
         """
         now = self._board.clock()
         service = state.request.service
-        self._board.find_retry_budget(service).count_request(now)
+        if not (state.is_counted or self._should_forward(state)):
+            # An entry that forwards a request does not send it to servers.
+            self._board.find_retry_budget(service).count_request(now)
+            state.is_counted = True
         self._board.find_priority_mix(service).record(state.route.priority, now)
         with ExitStack() as stack:
             # A cancelled call returns no response that the caller could close.
@@ -214,6 +154,9 @@
             while state.outcome is None:
                 if not self._reserve_attempt(state, reason, unsent_retry):
                     return
+                if self._forwarder and self._should_forward(state):
+                    await self._forward(self._forwarder, state, unsent_retry)
+                    return
                 server = await self._pick(state, reason)
                 if server is None:
                     return
@@ -221,6 +164,58 @@
                 if reason is None:
                     return
 
+    def _should_forward(self, state: RequestState) -> bool:
+        service = state.request.service
+        is_unreached = (
+            self._board.server_links.is_lost(service)
+            or state.failed_connections >= UNREACHED_SERVERS_MIN
+        )
+        return (
+            is_unreached
+            and not state.is_forwarded
+            and self._forwarder is not None
+            and self._forwarder.find_entry(service) is not None
+        )
+
+    async def _forward(
+        self,
+        forwarder: PeerForwarder,
+        state: RequestState,
+        unsent_retry: ExitStack,
+    ) -> None:
+        # The other entry may use all attempts that are left.
+        attempts_left = state.route.max_attempts - state.attempts + 1
+        state.attempts += attempts_left - 1
+        outcome = await forwarder.forward(
+            state, attempts_left, partial(_record_forward, state, unsent_retry)
+        )
+        if isinstance(outcome, NotRun):
+            state.attempts -= attempts_left
+            state.record_failure(self._complete_refusal(state, outcome))
+        else:
+            state.set_outcome(outcome)
+
+    def _complete_refusal(self, state: RequestState, refusal: NotRun) -> NotRun:
+        if refusal.retry_after_s:
+            return refusal
+        return replace(
+            refusal,
+            retry_after_s=self._picker.find_retry_after_s(
+                state.request.service
+            ),
+        )
+
+    def give_up_attempts(self, service: str) -> None:
+        """Give up attempts at a service that this entry does not reach.
+
+        Only requests that may be repeated, or that have not been sent, are
+        given up.
+
+        :param service: name of the service.
+        """
+        for scope in tuple(self._waiting_scopes_by_service[service]):
+            scope.cancel()
+
     async def _pick(
         self,
         state: RequestState,
@@ -349,10 +344,7 @@
         )
         result: ForwardResult | None = None
         try:
-            result = await self._pool.forward(
-                build_server_address(board, server),
-                attempt,
-            )
+            result = await self._forward_attempt(state, server, attempt)
         finally:
             load.record_completion()
             if result is None:
@@ -368,6 +360,38 @@
                 )
             return self._evaluate(state, result)
 
+    async def _forward_attempt(
+        self, state: RequestState, server: KnownServer, attempt: Attempt
+    ) -> ForwardResult:
+        runs_before = state.possible_runs
+        scope = anyio.CancelScope()
+        scopes = self._waiting_scopes_by_service[state.request.service]
+        scopes.add(scope)
+        if not state.request.is_idempotent:
+            attempt = replace(
+                attempt,
+                may_send=partial(
+                    _check_then_discard, attempt.may_send, scopes, scope
+                ),
+            )
+        result: ForwardResult | None = None
+        try:
+            with scope:
+                result = await self._pool.forward(
+                    build_server_address(self._board, server), attempt
+                )
+        finally:
+            scopes.discard(scope)
+        if result is not None:
+            return result
+        is_sent = state.possible_runs > runs_before
+        return AttemptFailure(
+            FailureKind.SILENT if is_sent else FailureKind.CONNECT_FAILED,
+            server.report.server_id,
+            is_sent=is_sent,
+            detail='links to the servers of the service are lost',
+        )
+
     def _record_abandoned(
         self,
         route: Route,
@@ -425,6 +449,7 @@
         server_id = server.report.server_id
         is_success = False
         load_text = ''
+        self._record_link(server, result)
         match result:
             case AttemptFailure(kind=FailureKind.NOT_RUN):
                 load_text = result.load
@@ -448,6 +473,20 @@
         board.record_outcome(server_id, load, is_success=is_success)
         record_load_report(board, server, load_text)
 
+    def _record_link(self, server: KnownServer, result: ForwardResult) -> None:
+        match result:
+            case AttemptFailure(kind=kind) if kind in UNREACHED_KINDS:
+                self._board.record_link_failure(server, kind.value)
+            case AttemptFailure(
+                kind=FailureKind.NOT_RUN
+                | FailureKind.OTHER_SERVER
+                | FailureKind.TRUNCATED
+                | FailureKind.MISMATCHED
+            ):
+                self._board.record_link_response(server)
+            case Answered() | StreamedResponse():
+                self._board.record_link_response(server)
+
     def _record_survival(
         self,
         state: RequestState,
@@ -503,6 +542,8 @@
         state: RequestState,
         failure: AttemptFailure,
     ) -> RetryReason | None:
+        if failure.kind is FailureKind.CONNECT_FAILED:
+            state.failed_connections += 1
         if failure.may_have_run:
             lost = Unknown(UnknownReason.ANSWER_LOST, detail=failure.detail)
             state.record_failure(lost)
@@ -579,6 +620,25 @@
                 return state.failure
 
 
+def _record_forward(state: RequestState, unsent_retry: ExitStack) -> bool:
+    """Count a request as sent; permit it to be sent."""
+    state.possible_runs += 1
+    unsent_retry.pop_all()
+    return True
+
+
+def _check_then_discard(
+    check: Callable[[], bool],
+    scopes: set[anyio.CancelScope],
+    scope: anyio.CancelScope,
+) -> bool:
+    """Keep a request that is about to be sent from being given up."""
+    if not check():
+        return False
+    scopes.discard(scope)
+    return True
+
+
 def _is_encodable(request: CallerRequest) -> bool:
     """Return whether a request is valid without the headers for a server."""
     encoded = encode_request(
--- a/copperyard/entry.py
+++ b/copperyard/entry.py
@@ -29,10 +29,12 @@
 from copperyard.entry_settings import EntrySettings
 from copperyard.exchanges import BackendPool
 from copperyard.fault_barriers import FaultBarrier, run_controller
+from copperyard.link_controller import LinkController
 from copperyard.listeners import accept_connections
 from copperyard.load_probing import LoadProber
 from copperyard.logs import configure_logs, log_event
 from copperyard.metrics import Metrics
+from copperyard.peer_forwarding import PeerForwarder
 from copperyard.picking import ServerPicker
 from copperyard.platform import (
     SETTINGS_VARIABLE,
@@ -129,7 +131,14 @@
             lambda server, broken: checker.start(
                 prober.describe_check(server), broken
             ),
+            PeerForwarder(
+                self.board, self._pool, self._peers.list_alive, self._random
+            ),
+        )
+        links = LinkController(
+            self.board, prober, dispatcher.give_up_attempts, self._random
         )
+        group.start_soon(run_controller, links.run, 'links', self.board.metrics)
         return EntryApi(
             self.board,
             dispatcher,
@@ -175,7 +184,11 @@
         for address, handler in handlers_by_address.items():
             callbacks = ListenerCallbacks(
                 handler,
-                api.find_limits,
+                (
+                    api.find_entry_limits
+                    if handler == api.serve_entry
+                    else api.find_limits
+                ),
                 self._is_leaving,
                 self.board.clock,
                 api.record_refusal,
--- a/copperyard/entry_api.py
+++ b/copperyard/entry_api.py
@@ -1,18 +1,21 @@
 """HTTP handlers for callers, the platform and other entries."""
 
 import re
+from dataclasses import replace
 from random import Random
 from typing import Final
 
 from copperyard.caller_connections import ReceivedRequest
 from copperyard.caller_responses import CallerResponse, build_response
 from copperyard.clock import MILLISECONDS_PER_S
-from copperyard.dispatching import Dispatcher, DispatchOutcome, RequestState
+from copperyard.dispatching import Dispatcher
 from copperyard.entry_board import EntryBoard
 from copperyard.entry_gauges import update_gauges
 from copperyard.entry_messages import encode_message
 from copperyard.entry_peers import EntryPeers
 from copperyard.fault_barriers import FaultBarrier
+from copperyard.forwarded_requests import FORWARDED_HEADER
+from copperyard.forwarded_serving import ForwardedRequestServer
 from copperyard.http_calls import build_request
 from copperyard.logs import log_event
 from copperyard.metrics_text import (
@@ -29,6 +32,7 @@
     encode_lookup,
     read_caller_domain,
 )
+from copperyard.request_states import DispatchOutcome, RequestState
 from copperyard.requests import HOP_BY_HOP_HEADERS
 from copperyard.routes import RequestLimits, Route
 from copperyard.store_poller import SNAPSHOT_PATH
@@ -46,6 +50,12 @@
 NOT_READY_RETRY_AFTER_S: Final = 0.2
 # Another entry can serve the request at once.
 LEAVING_RETRY_AFTER_S: Final = 0.02
+# Size of the headers that entries add to a request they forward.
+ENTRY_HEAD_EXTRA_BYTES: Final = 4096
+# A body may exceed the limit here for a moment after a configuration change.
+ENTRY_BODY_MAX_BYTES: Final = 16 * 1024 * 1024
+# Longer than the pool of the other entry keeps an idle connection.
+ENTRY_IDLE_TIMEOUT_S: Final = 30.0
 # Time reserved for the response to reach the caller before the deadline.
 RESPONSE_MARGIN_S: Final = 0.01
 
@@ -82,6 +92,21 @@
         self._peers = peers
         self._replica = replica
         self._random = random
+        self._forwarded_server = ForwardedRequestServer(board, dispatcher)
+
+    def find_entry_limits(self) -> RequestLimits:
+        """Return the limits on requests of other entries.
+
+        They have checked the limits of their callers. Idle connections are
+        closed by the entry that opened them.
+        """
+        limits = self.find_limits()
+        return replace(
+            limits,
+            head_bytes=limits.head_bytes + ENTRY_HEAD_EXTRA_BYTES,
+            body_bytes=max(limits.body_bytes, ENTRY_BODY_MAX_BYTES),
+            idle_timeout_s=ENTRY_IDLE_TIMEOUT_S,
+        )
 
     def find_limits(self) -> RequestLimits:
         """Return the configured limits on requests."""
@@ -149,10 +174,12 @@
         return CallerResponse(200 if self._board.is_ready else _UNAVAILABLE)
 
     async def serve_entry(self, received: ReceivedRequest) -> CallerResponse:
-        """Return a snapshot of the state read from the store.
+        """Run a forwarded request, or return a snapshot of the state.
 
         :param received: the request of another entry.
         """
+        if any(name == FORWARDED_HEADER for name, _ in received.headers):
+            return await self._forwarded_server.serve(received)
         if received.target.decode('latin-1') != SNAPSHOT_PATH:
             return CallerResponse(_NOT_FOUND)
         now = self._board.clock()
@@ -284,13 +311,18 @@
         now = board.clock()
         settings = board.settings
         port = settings.caller_address.rpartition(':')[2]
-        domains_by_ip = {
-            peer.heartbeat.ip: peer.heartbeat.failure_domain
+        ready = [
+            peer.heartbeat
             for peer in self._peers.list_alive(now)
             if peer.heartbeat.is_ready
-        }
+        ]
         if board.is_ready:
-            domains_by_ip[settings.ip] = settings.failure_domain
+            ready.append(self._peers.describe_self(now))
+        # Entries that are cut off serve only through the others.
+        reaching = [beat for beat in ready if not beat.is_cut_off]
+        domains_by_ip = {
+            beat.ip: beat.failure_domain for beat in reaching or ready
+        }
         local_ips = [
             ip for ip, ip_domain in domains_by_ip.items() if ip_domain == domain
         ]
--- a/copperyard/entry_board.py
+++ b/copperyard/entry_board.py
@@ -7,7 +7,7 @@
 
 from anyio import Event
 
-from copperyard.clock import seconds_since_boot
+from copperyard.clock import MILLISECONDS_PER_S, seconds_since_boot
 from copperyard.cold_allowance import COLD_SEND_INTERVAL_S, is_cold_sender
 from copperyard.concurrency_estimates import ConcurrencyEstimate
 from copperyard.crash_suspects import Crash, CrashSuspects
@@ -19,6 +19,7 @@
 from copperyard.rate_limits import NamedLimit, RateLimits
 from copperyard.request_fingerprints import RequestFingerprints
 from copperyard.routes import Route, RouteTable, ServiceConfig
+from copperyard.server_links import ServerLinks
 from copperyard.server_loads import LoadSample, ServerLoad
 from copperyard.server_table import KnownServer, ServerTable
 from copperyard.shared_retry_budget import SharedRetryBudget
@@ -48,13 +49,15 @@
     :param server_table: registered backend servers.
     :param loads_by_id: load of each backend server, created on first use.
     :param rate_limits: limits that servers name, and this entry's shares.
+    :param server_links: services whose servers this entry does not reach.
     :param crash_suspects: requests under which servers have ended.
     :param waiting_requests_by_service: number of requests that wait for a
         backend server.
     :param has_unsent_updates: set while something has to be sent to other
         entries.
     :param has_urgent_news: set while other entries should learn at once of a
-        limit, of a crash, or of the end of one.
+        limit, of a crash, of lost links, or of the end of one.
+    :param has_lost_links: set once the links to a service have been lost.
     :param unsent_samples: newest load report of each server and the time at
         which it arrived.
     :param unsent_sends: ids of servers that were sent a request, one item for
@@ -73,10 +76,12 @@
     server_table: ServerTable = field(default_factory=ServerTable)
     loads_by_id: dict[str, ServerLoad] = field(default_factory=dict)
     rate_limits: RateLimits = field(default_factory=RateLimits)
+    server_links: ServerLinks = field(default_factory=ServerLinks)
     crash_suspects: CrashSuspects = field(default_factory=CrashSuspects)
     waiting_requests_by_service: Counter[str] = field(default_factory=Counter)
     has_unsent_updates: Event = field(default_factory=Event)
     has_urgent_news: Event = field(default_factory=Event)
+    has_lost_links: Event = field(default_factory=Event)
     unsent_samples: dict[str, tuple[LoadSample, float]] = field(
         default_factory=dict,
     )
@@ -111,6 +116,16 @@
             self.routes is not None and self.has_servers and not self.is_leaving
         )
 
+    @property
+    def is_cut_off(self) -> bool:
+        """Return whether the links to the servers of most services are lost.
+
+        A service whose servers have all ended looks the same, but then others
+        remain.
+        """
+        lost_count = len(self.server_links.lost_services)
+        return 2 * lost_count > len(self._servers_by_service)
+
     def replace_settings(self, settings: EntrySettings) -> None:
         """Apply reloaded settings, also to existing retry budgets.
 
@@ -331,6 +346,52 @@
         if self.rate_limits.merge(server_id, limit):
             self._log_rate_limit(server_id, limit.requests_per_s, source_ip)
 
+    def record_link_response(self, server: KnownServer) -> None:
+        """Record that a server has sent something to this entry.
+
+        :param server: the server.
+        """
+        service = server.report.service
+        now = self.clock()
+        lost_s = self.server_links.record_response(service, now)
+        if lost_s is None:
+            return
+        self.has_urgent_news.set()
+        self.metrics.count('links.restored')
+        log_event(
+            'links_restored',
+            service=service,
+            server=server.report.server_id,
+            lost_ms=round(lost_s * MILLISECONDS_PER_S),
+        )
+        # The other servers are checked by the requests that need them.
+        for other in self.list_servers(service, now):
+            self.find_load(other).end_backoff(now)
+
+    def record_link_failure(self, server: KnownServer, reason: str) -> None:
+        """Record that this entry did not reach a server.
+
+        :param server: the server.
+        :param reason: how the last attempt failed, for the log.
+        """
+        service = server.report.service
+        now = self.clock()
+        server_count = len(self.list_servers(service, now))
+        is_lost = self.server_links.record_failure(
+            service, server.report.server_id, server_count, now
+        )
+        if is_lost:
+            self.has_lost_links.set()
+            self.has_urgent_news.set()
+            self.metrics.count('links.lost')
+            log_event(
+                'links_lost',
+                service=service,
+                servers=server_count,
+                last_server=server.report.server_id,
+                reason=reason,
+            )
+
     def record_crash(
         self,
         fingerprints: RequestFingerprints,
--- a/copperyard/entry_gauges.py
+++ b/copperyard/entry_gauges.py
@@ -20,6 +20,7 @@
         'requests.quarantined', board.crash_suspects.count_quarantined(now)
     )
     metrics.gauge('entry.is_ready', board.is_ready)
+    metrics.gauge('services.unreachable', len(board.server_links.lost_services))
     metrics.gauge('operator.age_s', now - replica.operator_read_at)
     metrics.gauge('servers.age_s', now - replica.servers_read_at)
     if board.routes is not None:
--- a/copperyard/entry_messages.py
+++ b/copperyard/entry_messages.py
@@ -27,6 +27,7 @@
 LISTED_IPS_MAX: Final = 64
 LISTED_LIMITS_MAX: Final = 64
 LISTED_SUSPECTS_MAX: Final = 64
+LISTED_SERVICES_MAX: Final = 64
 ACTIVE_REQUESTS_MAX: Final = 1_000_000
 SLOWNESS_MAX: Final = 1_000_000
 RATE_MAX_PER_S: Final = 1_000_000
@@ -107,6 +108,9 @@
     :param known_ips: IP addresses of some entries that the sender hears from.
     :param limits: limits of backend servers, drawn at random if there are many.
     :param suspects: the requests under which most servers have ended.
+    :param unreachable_services: services whose servers the sender has lost its
+        links to, drawn at random if there are many.
+    :param is_cut_off: whether these are most of the services.
     """
 
     ip: str
@@ -123,6 +127,10 @@
     suspects: Annotated[
         tuple[SuspectReport, ...], msgspec.Meta(max_length=LISTED_SUSPECTS_MAX)
     ] = ()
+    unreachable_services: Annotated[
+        tuple[Name, ...], msgspec.Meta(max_length=LISTED_SERVICES_MAX)
+    ] = ()
+    is_cut_off: bool = False
 
 
 class ServerUpdate(msgspec.Struct, frozen=True, array_like=True, tag='servers'):
--- a/copperyard/entry_peers.py
+++ b/copperyard/entry_peers.py
@@ -55,6 +55,8 @@
 # Requests under which servers have ended that are listed in a heartbeat; bounds
 # its size.
 LISTED_SUSPECTS: Final = 12
+# Services listed in a heartbeat as unreachable; bounds its size.
+LISTED_SERVICES: Final = 32
 # Shortest interval between heartbeats that are sent because of urgent news.
 URGENT_INTERVAL_S: Final = 0.1
 # Heartbeats from one with limits and crashes to the next; others are short,
@@ -160,7 +162,7 @@
         new_ips = list(filter(is_ipv4, new_ips))
         if not new_ips:
             return
-        content = encode_message(self._build_heartbeat(self._board.clock()))
+        content = encode_message(self.describe_self(self._board.clock()))
         for ip in new_ips:
             self._tries_by_ip[ip] = 0
             self._send(ip, content)
@@ -187,11 +189,33 @@
             or self._heartbeat_count % HEARTBEATS_PER_FULL_ONE == 0
         )
         self._full_heartbeats_left = max(0, self._full_heartbeats_left - 1)
-        heartbeat = self._build_heartbeat(self._board.clock(), is_full=is_full)
+        heartbeat = self.describe_self(self._board.clock(), is_full=is_full)
         content = encode_message(heartbeat)
         for ip in (*self.peers_by_ip, *self._tries_by_ip):
             self._send(ip, content)
 
+    def describe_self(self, now: float, *, is_full: bool = True) -> Heartbeat:
+        """Return what this entry tells the others about itself.
+
+        :param now: ``CLOCK_BOOTTIME`` in seconds.
+        :param is_full: whether it lists limits and crashes.
+        """
+        ips = list(self.peers_by_ip)
+        known_ips = self._random.sample(ips, min(KNOWN_IPS_MAX, len(ips)))
+        settings = self._board.settings
+        return Heartbeat(
+            ip=settings.ip,
+            failure_domain=settings.failure_domain,
+            is_ready=self._board.is_ready,
+            operator_end=self._replica.operator_end,
+            operator_age_s=now - self._replica.operator_read_at,
+            known_ips=tuple(known_ips),
+            limits=self._list_limits(now) if is_full else (),
+            suspects=self._list_suspects(now) if is_full else (),
+            unreachable_services=self._list_unreachable(),
+            is_cut_off=self._board.is_cut_off,
+        )
+
     async def receive(self) -> None:
         """Receive and handle datagrams until cancelled."""
         while True:
@@ -315,7 +339,7 @@
         if previous is None:
             self._send(
                 heartbeat.ip,
-                encode_message(self._build_heartbeat(now)),
+                encode_message(self.describe_self(now)),
             )
 
     def _apply_limits(self, heartbeat: Heartbeat, now: float) -> None:
@@ -365,22 +389,10 @@
         log_event('load_report_damaged', server=report.server_id)
         return False
 
-    def _build_heartbeat(
-        self, now: float, *, is_full: bool = True
-    ) -> Heartbeat:
-        ips = list(self.peers_by_ip)
-        known_ips = self._random.sample(ips, min(KNOWN_IPS_MAX, len(ips)))
-        settings = self._board.settings
-        return Heartbeat(
-            ip=settings.ip,
-            failure_domain=settings.failure_domain,
-            is_ready=self._board.is_ready,
-            operator_end=self._replica.operator_end,
-            operator_age_s=now - self._replica.operator_read_at,
-            known_ips=tuple(known_ips),
-            limits=self._list_limits(now) if is_full else (),
-            suspects=self._list_suspects(now) if is_full else (),
-        )
+    def _list_unreachable(self) -> tuple[str, ...]:
+        services = tuple(self._board.server_links.lost_services)
+        count = min(LISTED_SERVICES, len(services))
+        return tuple(self._random.sample(services, count))
 
     def _list_limits(self, now: float) -> tuple[LimitReport, ...]:
         reports = [
--- a/copperyard/load_probing.py
+++ b/copperyard/load_probing.py
@@ -8,6 +8,7 @@
 from anyio.abc import TaskGroup
 
 from copperyard.attempt_types import (
+    UNREACHED_KINDS,
     Attempt,
     AttemptFailure,
     FailureKind,
@@ -150,9 +151,19 @@
             dialect=HEALTH_DIALECT,
         )
         board.metrics.count('probe.sent')
-        return await self._pool.forward(
+        result = await self._pool.forward(
             build_server_address(board, server), attempt
         )
+        match result:
+            case AttemptFailure(kind=kind) if kind in UNREACHED_KINDS:
+                board.record_link_failure(server, kind.value)
+            case AttemptFailure(kind=FailureKind.EXPIRED):
+                board.record_link_failure(server, 'no response')
+            case AttemptFailure(is_sent=False):
+                pass
+            case _:
+                board.record_link_response(server)
+        return result
 
     def _apply_result(self, server: KnownServer, result: ForwardResult) -> None:
         board = self._board
--- a/copperyard/requests.py
+++ b/copperyard/requests.py
@@ -52,7 +52,7 @@
     ),
 )
 
-_OWN_HEADER_PREFIX: Final = b'copperyard-'
+OWN_HEADER_PREFIX: Final = b'copperyard-'
 _HOST_HEADER: Final = b'host'
 _VISIBLE_ASCII: Final = re.compile(rb'[!-~]+')
 _BOOLEANS: Final = MappingProxyType({b'true': True, b'false': False})
@@ -191,7 +191,7 @@
         forwarded = []
         connection_options: set[bytes] = set()
         for name, value in headers:
-            if name.startswith(_OWN_HEADER_PREFIX):
+            if name.startswith(OWN_HEADER_PREFIX):
                 self._store(name, value)
             elif name in HOP_BY_HOP_HEADERS:
                 self._read_hop_by_hop(name, value, connection_options)
--- a/copperyard/server_loads.py
+++ b/copperyard/server_loads.py
@@ -181,6 +181,14 @@
         self.backoff_until = max(self.backoff_until, now + self._backoff_s)
         self._backoff_s = min(BACKOFF_MAX_S, 2 * self._backoff_s)
 
+    def end_backoff(self, now: float) -> None:
+        """End the back-off; a health check stays required.
+
+        :param now: ``CLOCK_BOOTTIME`` in seconds.
+        """
+        self.backoff_until = min(self.backoff_until, now)
+        self._backoff_s = BACKOFF_MIN_S
+
     def count_cold_sends(self, since: float) -> int:
         """Return how many requests this entry sent while the server was cold.
 
--- a/tests/entry_builders.py
+++ b/tests/entry_builders.py
@@ -1,10 +1,10 @@
 """Builders of boards, servers and routes for tests of the entry process."""
 
-from copperyard.dispatching import RequestState
 from copperyard.entry_board import EntryBoard
 from copperyard.entry_settings import EntryBounds, EntrySettings
 from copperyard.http_calls import build_request
 from copperyard.metrics import Metrics
+from copperyard.request_states import RequestState
 from copperyard.routes import (
     RequestLimits,
     Route,
--- a/tests/test_crash_suspects.py
+++ b/tests/test_crash_suspects.py
@@ -437,7 +437,7 @@
     for number in range(64):
         heartbeat = Heartbeat(f'10.100.100.{number}', 'a', True, 1, 0.1)
         peers._handle_heartbeat(heartbeat, board.clock())
-    heartbeat = peers._build_heartbeat(board.clock())
+    heartbeat = peers.describe_self(board.clock())
     assert len(heartbeat.suspects) == 2 * LISTED_SUSPECTS
     assert len(encode_message(heartbeat)) < DATAGRAM_MAX_BYTES
 
@@ -477,7 +477,7 @@
         now = self.clock()
         for other in self.entries:
             if other is not entry:
-                content = encode_message(other.peers._build_heartbeat(now))
+                content = encode_message(other.peers.describe_self(now))
                 entry.peers._apply_suspects(decode_datagram(content), now)
 
     def exchange(self):
@@ -489,7 +489,7 @@
                 continue
             entry.board.has_urgent_news = anyio.Event()
             entry.beats_at = now + 0.5
-            content = encode_message(entry.peers._build_heartbeat(now))
+            content = encode_message(entry.peers.describe_self(now))
             for other_number, other in enumerate(self.entries):
                 if number != other_number:
                     message = decode_datagram(content)
--- a/tests/test_entry_peers.py
+++ b/tests/test_entry_peers.py
@@ -112,7 +112,7 @@
             )
         late, late_peers = build_entry('127.0.0.33')
         late_peers._handle_heartbeat(
-            peers._build_heartbeat(now), seconds_since_boot()
+            peers.describe_self(now), seconds_since_boot()
         )
         assert late.rate_limits.find(known.report) is not None
 
--- a/tests/test_rate_limits.py
+++ b/tests/test_rate_limits.py
@@ -334,7 +334,7 @@
     for number in range(500):
         report = build_report(f'{number:0128}')
         board.rate_limits.record_response(report, 1 / 3, 0.0, board.clock())
-    heartbeat = build_peers(board)._build_heartbeat(board.clock())
+    heartbeat = build_peers(board).describe_self(board.clock())
     assert len(heartbeat.limits) == LISTED_LIMITS
     assert len(encode_message(heartbeat)) < DATAGRAM_MAX_BYTES
 
@@ -408,7 +408,7 @@
                 continue
             entry.board.has_urgent_news = Event()
             entry.beats_at = now + 0.5
-            content = encode_message(entry.peers._build_heartbeat(now))
+            content = encode_message(entry.peers.describe_self(now))
             for other_ip, other in self.entries.items():
                 if not {ip, other_ip} & self.cut_ips and ip != other_ip:
                     other.peers._apply_limits(decode_datagram(content), now)
