--- a/tests/scenarios/checker.py
+++ b/tests/scenarios/checker.py
@@ -19,6 +19,7 @@
     LinksCut,
     NamedLimit,
     Overload,
+    Pause,
     PlannedStop,
     Run,
     Sample,
@@ -37,6 +38,10 @@
 LIMIT_WINDOW_S: Final = 4.0
 LIMIT_TOLERANCE: Final = 1.5
 LIMIT_SLACK: Final = 5
+#: The users' rule on pauses: so many requests may arrive from this long after
+#: the response that asked for the pause until its end.
+PAUSE_NOTICE_S: Final = 0.5
+PAUSE_SLACK: Final = 2
 #: Servers that a request may end before it must not be sent any more.
 CRASHES_ALLOWED: Final = 3
 #: The users' rule on entries that are cut from the backend servers: first
@@ -198,6 +203,23 @@
                 )
 
 
+def check_pauses(history: History, _: Expectation) -> Iterator[str]:
+    """Check that servers get nothing while they have asked for a pause."""
+    pauses = tuple(_select(history, Pause))
+    if not pauses:
+        yield 'no server asked for a pause'
+    for pause in pauses:
+        count = sum(
+            pause.since + PAUSE_NOTICE_S < arrived_at < pause.until
+            for arrived_at in pause.arrivals
+        )
+        if count > PAUSE_SLACK:
+            yield (
+                f'server {pause.server} asked {pause.source} for a pause of '
+                f'{pause.until - pause.since:.1f} s, and got {count} requests'
+            )
+
+
 def check_crash_budget(
     history: History, expectation: Expectation
 ) -> Iterator[str]:
@@ -450,6 +472,7 @@
     'cold_start': check_cold_start,
     'cold_rate': check_cold_rate,
     'named_limits': check_named_limits,
+    'pauses_kept': check_pauses,
     'crash_budget': check_crash_budget,
     'cut_entries_serve': check_cut_entries,
     'probe_budget': check_probe_budget,
--- a/tests/scenarios/history.py
+++ b/tests/scenarios/history.py
@@ -131,6 +131,20 @@
     request_id: str
 
 
+@dataclass(frozen=True)
+class Pause:
+    """A backend server asked an entry to send it nothing for some time.
+
+    :param arrivals: times of the requests that it got from the entry.
+    """
+
+    server: int
+    source: str
+    since: float
+    until: float
+    arrivals: tuple[float, ...]
+
+
 @dataclass(frozen=True)
 class LinksCut:
     """An entry could not reach the backend servers."""
--- a/tests/scenarios/language.py
+++ b/tests/scenarios/language.py
@@ -30,6 +30,8 @@
     ('kill', 'freeze', 'stop', 'reload', 'restart', 'cut', 'behave')
     + (
         'name_limit',
+        'announce',
+        'pause',
         'crash',
         'leave',
         'outage',
@@ -44,6 +46,7 @@
     *(
         'cold_rate',
         'named_limits',
+        'pauses_kept',
         'crash_budget',
         'probe_budget',
         'stop_cuts_nothing',
@@ -117,6 +120,7 @@
     :param at: seconds after the load started.
     :param span: duration in seconds.
     :param rate: requests per second.
+    :param pauses: length of the pauses that a server asks for, in seconds.
     """
 
     kind: str
@@ -128,6 +132,7 @@
     manner_of_cut: str = 'silently'
     mode: str = ''
     span: float = 0.0
+    pauses: float = 0.0
     count: int = 0
     rate: int = 0
     domain: str = ''
--- a/tests/scenarios/platform_harness.py
+++ b/tests/scenarios/platform_harness.py
@@ -18,6 +18,7 @@
     History,
     LinksCut,
     NamedLimit,
+    Pause,
     PlannedStop,
     Run,
     ServerDeclaration,
@@ -115,6 +116,16 @@
             )
         for number, server in self.servers.items():
             self.events += [Run(server=number, **run) for run in server.runs]
+            self.events += [
+                Pause(
+                    number,
+                    source,
+                    since,
+                    until,
+                    tuple(server.arrivals_by_source[source]),
+                )
+                for source, since, until in server.pauses
+            ]
         return History(started_at, self.server_declarations, tuple(self.events))
 
     async def _apply_fault(
@@ -137,6 +148,17 @@
                 await self._repeat_crashing_request(fault)
             case 'name_limit':
                 await self._name_limit(fault)
+            case 'announce':
+                self.servers[fault.server].is_leaving = True
+                self.events.append(
+                    Withdrawal(fault.server, seconds_since_boot())
+                )
+            case 'pause':
+                server = self.servers[fault.server]
+                server.sheds = True
+                server.retry_after = str(fault.pauses)
+                await asyncio.sleep(fault.span)
+                server.sheds = False
             case 'leave':
                 self._put_server_registration(
                     platform, fault.server, sequence=9, state='draining'
--- a/tests/standins/platform.py
+++ b/tests/standins/platform.py
@@ -8,6 +8,7 @@
 import base64
 import json
 import struct
+from collections import defaultdict
 from collections.abc import Awaitable, Callable
 from contextlib import AsyncExitStack, asynccontextmanager
 from dataclasses import dataclass, field
@@ -27,6 +28,7 @@
     target: str
     headers: dict[str, str]
     body: bytes
+    peer_ip: str = ''
 
 
 @dataclass(slots=True)
@@ -167,7 +169,8 @@
     fields = (line.split(':', 1) for line in lines)
     headers = {name.lower(): value.strip() for name, value in fields}
     body = await reader.readexactly(int(headers.get('content-length', 0)))
-    response = await handler(Request(method, target, headers, body))
+    request = Request(method, target, headers, body, _find_peer_ip(writer))
+    response = await handler(request)
     if response.raw is not None:
         writer.write(response.raw)
         await writer.drain()
@@ -321,6 +324,10 @@
     :ivar down_s: time in seconds until it is back.
     :ivar on_crash: called with the id of the request.
     :ivar sheds: whether requests are refused with a 503.
+    :ivar retry_after: ``Retry-After`` of these refusals; empty for none.
+    :ivar is_leaving: whether all responses say that the server is leaving.
+    :ivar pauses: source, begin and end of each pause that it has asked for.
+    :ivar arrivals_by_source: times of the requests by IP address of the sender.
     :ivar is_silent: whether requests are read but never get a response.
     :ivar runs: start, end and coldness of each executed request.
     :ivar executed_request_ids: ids of the executed requests, by start time.
@@ -341,6 +348,10 @@
         self.on_crash = lambda request_id: None
         self.listener = None
         self.sheds = False
+        self.retry_after = ''
+        self.is_leaving = False
+        self.pauses = []
+        self.arrivals_by_source = defaultdict(list)
         self.is_silent = False
         self.runs = []
         self.address = ''
@@ -352,6 +363,12 @@
 
     async def handle(self, request):
         """Handle a request or a health check."""
+        response = await self._respond(request)
+        if self.is_leaving:
+            response.headers['Server-Leaving'] = '1'
+        return response
+
+    async def _respond(self, request):
         load = f'{self.in_flight},0,4,{self.slowness}'
         if request.target == '/health':
             self.probes += 1
@@ -360,15 +377,23 @@
                 headers['X-Warmup-Ms'] = str(self.cold_ms)
             return Response(headers=headers)
         self.received.append(request)
+        self.arrivals_by_source[request.peer_ip].append(seconds_since_boot())
         target_id = request.headers.get('x-target-instance')
         if target_id not in (None, self.server_id):
             return Response(421, {'X-Instance-Id': self.server_id})
         if self.sheds:
-            return Response(
-                503, {'X-Not-Executed': '1', 'X-Backend-Load': load}
-            )
+            return self._refuse(request, load)
         return await self._execute(request, load)
 
+    def _refuse(self, request, load):
+        headers = {'X-Not-Executed': '1', 'X-Backend-Load': load}
+        if self.retry_after:
+            headers['Retry-After'] = self.retry_after
+            now = seconds_since_boot()
+            until = now + float(self.retry_after)
+            self.pauses.append((request.peer_ip, now, until))
+        return Response(503, headers)
+
     async def _execute(self, request, load):
         request_id = request.headers['x-request-id']
         self.in_flight += 1
--- a/tests/test_checker.py
+++ b/tests/test_checker.py
@@ -18,6 +18,7 @@
     LinksCut,
     NamedLimit,
     Overload,
+    Pause,
     PlannedStop,
     Run,
     Sample,
@@ -591,3 +592,19 @@
     expectation = Expectation(kind='cut_entries_serve', bound=3.0)
     found = check_history(history, (expectation,))
     assert len(found) == violations
+
+
+@pytest.mark.parametrize(
+    ('arrivals', 'violations'),
+    [
+        ((10.1, 10.2, 10.4), 0),
+        ((10.6, 11.0), 0),
+        ((10.6, 11.0, 12.9), 1),
+        ((13.1, 13.2, 13.3), 0),
+    ],
+)
+def test_pauses_kept(arrivals, violations):
+    """Requests soon after the response, and after the pause, do not count."""
+    history = History(0.0, {}, (Pause(1, 'e1', 10.0, 13.0, arrivals),))
+    found = check_history(history, (Expectation(kind='pauses_kept'),))
+    assert len(found) == violations
