Send nothing to servers that say in a response that they leave

What callers would see: requests at a server that is about to stop, and lost with it.

Cause: no module read Server-Leaving; only the store's record took a server out, and the store was away. Evidence: the arrivals go on at the entry that had the response, and no log line names it.

Change: every response is read for it, also refusals, errors, broken-off ones and health checks; heartbeats pass it on at once; only another incarnation ends it; the list of usable servers is read again before the first byte.

--- a/copperyard/attempt_types.py
+++ b/copperyard/attempt_types.py
@@ -56,6 +56,8 @@
     :param retry_after_s: ``Retry-After`` of the response, 0 if absent.
     :param load: load report of the response, empty if absent.
     :param rate_limit: limit that the response names; ``None`` if absent.
+    :param leaving: what the response says of whether the server is leaving;
+        ``None`` if absent.
     :param detail: description of the failure, for logs and for the details of
         refusals.
     """
@@ -66,6 +68,7 @@
     retry_after_s: float = 0.0
     load: str = ''
     rate_limit: str | None = None
+    leaving: str | None = None
     detail: str = ''
 
     @property
--- a/copperyard/dialects.py
+++ b/copperyard/dialects.py
@@ -32,6 +32,7 @@
     :param load: load report of a response.
     :param rate_limit: requests per second that a server takes from all entries
         together.
+    :param leaving: tells whether a server is about to stop.
     :param not_run: marks a response to a request that did not run.
     :param not_run_value: the only valid value of ``not_run``; if empty, any
         value is valid.
@@ -54,6 +55,7 @@
     expected_server: bytes = b''
     load: bytes = b''
     rate_limit: bytes = b''
+    leaving: bytes = b''
     not_run: bytes = b''
     not_run_value: bytes = b''
     refusal_statuses: frozenset[int] = frozenset()
@@ -166,8 +168,21 @@
         :returns: values of the header, separated by commas; ``None`` if it is
             absent.
         """
-        values = [value for name, value in headers if name == self.rate_limit]
-        return b','.join(values).decode('latin-1') if values else None
+        return _join_values(headers, self.rate_limit)
+
+    def find_leaving(self, headers: tuple[Header, ...]) -> str | None:
+        """Return what a response says of whether its server is leaving.
+
+        :param headers: headers of the response.
+        :returns: values of the header, separated by commas; ``None`` if it is
+            absent.
+        """
+        return _join_values(headers, self.leaving)
+
+
+def _join_values(headers: tuple[Header, ...], name: bytes) -> str | None:
+    values = [value for other, value in headers if other == name]
+    return b','.join(values).decode('latin-1') if values else None
 
 
 COPPERYARD_DIALECT: Final = Dialect(
--- a/copperyard/dispatching.py
+++ b/copperyard/dispatching.py
@@ -24,7 +24,11 @@
 from copperyard.exchanges import BackendPool, ForwardResult, StreamedResponse
 from copperyard.http_codec import encode_request
 from copperyard.load_probing import build_server_address
-from copperyard.load_reports import record_load_report, record_rate_limit
+from copperyard.load_reports import (
+    record_leaving,
+    record_load_report,
+    record_rate_limit,
+)
 from copperyard.logs import log_event
 from copperyard.outcomes import (
     Answered,
@@ -450,6 +454,7 @@
         is_success = False
         load_text = ''
         self._record_link(server, result)
+        self._record_leaving(server, result)
         match result:
             case AttemptFailure(kind=FailureKind.NOT_RUN):
                 load_text = result.load
@@ -487,6 +492,21 @@
             case Answered() | StreamedResponse():
                 self._board.record_link_response(server)
 
+    def _record_leaving(
+        self, server: KnownServer, result: ForwardResult
+    ) -> None:
+        match result:
+            case AttemptFailure(
+                kind=FailureKind.OTHER_SERVER | FailureKind.MISMATCHED
+            ):
+                # The response is not one of this server to this request.
+                return
+            case AttemptFailure(leaving=text):
+                record_leaving(self._board, server, text)
+            case Answered() | StreamedResponse():
+                text = PLATFORM_DIALECT.find_leaving(result.headers)
+                record_leaving(self._board, server, text)
+
     def _record_survival(
         self,
         state: RequestState,
--- a/copperyard/entry_board.py
+++ b/copperyard/entry_board.py
@@ -13,6 +13,7 @@
 from copperyard.crash_suspects import Crash, CrashSuspects
 from copperyard.drains import Drain
 from copperyard.entry_settings import EntrySettings
+from copperyard.leaving_servers import LeavingServers
 from copperyard.logs import log_event
 from copperyard.metrics import Metrics
 from copperyard.processing_times import ProcessingTime
@@ -49,6 +50,7 @@
     :param server_table: registered backend servers.
     :param loads_by_id: load of each backend server, created on first use.
     :param rate_limits: limits that servers name, and this entry's shares.
+    :param leaving_servers: servers that have said that they are leaving.
     :param server_links: services whose servers this entry does not reach.
     :param crash_suspects: requests under which servers have ended.
     :param waiting_requests_by_service: number of requests that wait for a
@@ -56,7 +58,8 @@
     :param has_unsent_updates: set while something has to be sent to other
         entries.
     :param has_urgent_news: set while other entries should learn at once of a
-        limit, of a crash, of lost links, or of the end of one.
+        limit, of a crash, of lost links, of the end of one, or of a server
+        that is leaving.
     :param has_lost_links: set once the links to a service have been lost.
     :param unsent_samples: newest load report of each server and the time at
         which it arrived.
@@ -76,6 +79,7 @@
     server_table: ServerTable = field(default_factory=ServerTable)
     loads_by_id: dict[str, ServerLoad] = field(default_factory=dict)
     rate_limits: RateLimits = field(default_factory=RateLimits)
+    leaving_servers: LeavingServers = field(default_factory=LeavingServers)
     server_links: ServerLinks = field(default_factory=ServerLinks)
     crash_suspects: CrashSuspects = field(default_factory=CrashSuspects)
     waiting_requests_by_service: Counter[str] = field(default_factory=Counter)
@@ -346,6 +350,24 @@
         if self.rate_limits.merge(server_id, limit):
             self._log_rate_limit(server_id, limit.requests_per_s, source_ip)
 
+    def record_leaving(
+        self, server_id: str, started_ms: int, source_ip: str
+    ) -> None:
+        """Record that a server is leaving; it gets no new requests.
+
+        :param server_id: id of the server.
+        :param started_ms: start time of its incarnation.
+        :param source_ip: IP address of the entry that knows it.
+        """
+        now = self.clock()
+        if not self.leaving_servers.record(server_id, started_ms, now):
+            return
+        self._indexed_version = -1
+        if source_ip == self.settings.ip:
+            self.has_urgent_news.set()
+        self.metrics.count('server.leaving')
+        log_event('server_leaving', server=server_id, source=source_ip)
+
     def record_link_response(self, server: KnownServer) -> None:
         """Record that a server has sent something to this entry.
 
@@ -422,11 +444,14 @@
             self.has_urgent_news.set()
 
     def forget_old_facts(self) -> None:
-        """Drop limits, crashes and answers that nothing needs any more."""
+        """Drop limits, crashes and other facts that nothing needs any more."""
         self.crash_suspects.forget_old(self.clock())
         self.rate_limits.forget_ended(
             self.server_table.servers_by_id.keys(), self.clock()
         )
+        self.leaving_servers.forget_gone(
+            self.server_table.servers_by_id.keys(), self.clock()
+        )
 
     def _log_rate_limit(
         self, server_id: str, requests_per_s: float | None, source_ip: str
@@ -456,7 +481,10 @@
     def _index_servers(self) -> None:
         servers_by_service: dict[str, list[KnownServer]] = defaultdict(list)
         for server in self.server_table.servers_by_id.values():
-            if not server.report.is_draining:
+            report = server.report
+            if not (
+                report.is_draining or self.leaving_servers.contains(report)
+            ):
                 servers_by_service[server.report.service].append(server)
         self._servers_by_service = dict(servers_by_service)
         self._indexed_version = self.server_table.version
--- a/copperyard/entry_messages.py
+++ b/copperyard/entry_messages.py
@@ -28,6 +28,7 @@
 LISTED_LIMITS_MAX: Final = 64
 LISTED_SUSPECTS_MAX: Final = 64
 LISTED_SERVICES_MAX: Final = 64
+LISTED_LEAVING_MAX: Final = 64
 ACTIVE_REQUESTS_MAX: Final = 1_000_000
 SLOWNESS_MAX: Final = 1_000_000
 RATE_MAX_PER_S: Final = 1_000_000
@@ -95,6 +96,17 @@
     ]
 
 
+class LeavingReport(msgspec.Struct, frozen=True, array_like=True):
+    """A backend server has said in a response that it is leaving.
+
+    :param server_id: id of the server.
+    :param started_ms: start time of its incarnation.
+    """
+
+    server_id: Annotated[str, msgspec.Meta(max_length=SERVER_ID_MAX)]
+    started_ms: Number
+
+
 class Heartbeat(msgspec.Struct, frozen=True, array_like=True, tag='beat'):
     """Periodic message that an entry is alive.
 
@@ -111,6 +123,7 @@
     :param unreachable_services: services whose servers the sender has lost its
         links to, drawn at random if there are many.
     :param is_cut_off: whether these are most of the services.
+    :param leaving: servers that are leaving, those learned of last.
     """
 
     ip: str
@@ -131,6 +144,9 @@
         tuple[Name, ...], msgspec.Meta(max_length=LISTED_SERVICES_MAX)
     ] = ()
     is_cut_off: bool = False
+    leaving: Annotated[
+        tuple[LeavingReport, ...], msgspec.Meta(max_length=LISTED_LEAVING_MAX)
+    ] = ()
 
 
 class ServerUpdate(msgspec.Struct, frozen=True, array_like=True, tag='servers'):
--- a/copperyard/entry_peers.py
+++ b/copperyard/entry_peers.py
@@ -17,6 +17,7 @@
     Datagram,
     Goodbye,
     Heartbeat,
+    LeavingReport,
     LimitReport,
     LoadReport,
     LoadUpdate,
@@ -57,6 +58,8 @@
 LISTED_SUSPECTS: Final = 12
 # Services listed in a heartbeat as unreachable; bounds its size.
 LISTED_SERVICES: Final = 32
+# Leaving servers listed in a heartbeat; bounds its size.
+LISTED_LEAVING: Final = 20
 # Shortest interval between heartbeats that are sent because of urgent news.
 URGENT_INTERVAL_S: Final = 0.1
 # Heartbeats from one with limits and crashes to the next; others are short,
@@ -198,7 +201,7 @@
         """Return what this entry tells the others about itself.
 
         :param now: ``CLOCK_BOOTTIME`` in seconds.
-        :param is_full: whether it lists limits and crashes.
+        :param is_full: whether it lists limits, crashes and leaving servers.
         """
         ips = list(self.peers_by_ip)
         known_ips = self._random.sample(ips, min(KNOWN_IPS_MAX, len(ips)))
@@ -214,6 +217,7 @@
             suspects=self._list_suspects(now) if is_full else (),
             unreachable_services=self._list_unreachable(),
             is_cut_off=self._board.is_cut_off,
+            leaving=self._list_leaving() if is_full else (),
         )
 
     async def receive(self) -> None:
@@ -332,6 +336,10 @@
         self.contact(heartbeat.known_ips)
         self._apply_limits(heartbeat, now)
         self._apply_suspects(heartbeat, now)
+        for leaving in heartbeat.leaving:
+            self._board.record_leaving(
+                leaving.server_id, leaving.started_ms, heartbeat.ip
+            )
         if heartbeat.operator_end == self._replica.operator_end:
             read_at = now - heartbeat.operator_age_s
             if read_at > self._replica.operator_read_at:
@@ -389,6 +397,13 @@
         log_event('load_report_damaged', server=report.server_id)
         return False
 
+    def _list_leaving(self) -> tuple[LeavingReport, ...]:
+        newest = self._board.leaving_servers.list_newest(LISTED_LEAVING)
+        return tuple(
+            LeavingReport(leaving.server_id, leaving.started_ms)
+            for leaving in newest
+        )
+
     def _list_unreachable(self) -> tuple[str, ...]:
         services = tuple(self._board.server_links.lost_services)
         count = min(LISTED_SERVICES, len(services))
--- a/copperyard/exchanges.py
+++ b/copperyard/exchanges.py
@@ -419,9 +419,16 @@
             kind,
             self.server.server_id,
             is_sent=self._sent_at is not None,
+            leaving=self._find_leaving(),
             detail=detail,
         )
 
+    def _find_leaving(self) -> str | None:
+        head = self._parser.head
+        return (
+            None if head is None else self._dialect.find_leaving(head.headers)
+        )
+
     def _build_read_failure(self, error: Exception) -> AttemptFailure:
         kind = FailureKind.RESET
         if self._has_response_begun:
@@ -451,6 +458,7 @@
             retry_after_s=_read_retry_after_s(head.values_by_name),
             load=self._dialect.find_load(head.headers),
             rate_limit=self._dialect.find_rate_limit(head.headers),
+            leaving=self._dialect.find_leaving(head.headers),
             detail='refused as not run',
         )
 
--- a/copperyard/load_probing.py
+++ b/copperyard/load_probing.py
@@ -22,6 +22,7 @@
 from copperyard.http_calls import build_request, permit_always
 from copperyard.load_reports import (
     record_cold_period,
+    record_leaving,
     record_load_report,
     record_rate_limit,
 )
@@ -185,6 +186,9 @@
             board, server, HEALTH_DIALECT.find_load(result.headers)
         )
         record_cold_period(board, server, result.headers)
+        record_leaving(
+            board, server, HEALTH_DIALECT.find_leaving(result.headers)
+        )
         rate_limit = HEALTH_DIALECT.find_rate_limit(result.headers)
         # A health check is not a request, so one that names no limit does not
         # end it.
--- a/copperyard/load_reports.py
+++ b/copperyard/load_reports.py
@@ -6,6 +6,7 @@
 from copperyard.logs import log_event
 from copperyard.platform import (
     read_cold_left_s,
+    read_leaving,
     read_load,
     read_rate_limit,
 )
@@ -74,6 +75,33 @@
     )
 
 
+def record_leaving(
+    board: EntryBoard, server: KnownServer, text: str | None
+) -> None:
+    """Record whether a response says that its server is leaving.
+
+    :param board: receives what it says.
+    :param server: server that sent the response.
+    :param text: what it says; ``None`` if it says nothing.
+    """
+    if text is None:
+        return
+    is_leaving = read_leaving(text)
+    if is_leaving:
+        board.record_leaving(
+            server.report.server_id,
+            server.report.started_ms,
+            board.settings.ip,
+        )
+    elif is_leaving is None:
+        board.metrics.count('leaving.malformed')
+        log_event(
+            'leaving_malformed',
+            server=server.report.server_id,
+            detail=text[:LOGGED_CHARACTERS_MAX],
+        )
+
+
 def _record_malformed(
     board: EntryBoard, server: KnownServer, detail: str
 ) -> None:
--- a/copperyard/platform/headers.py
+++ b/copperyard/platform/headers.py
@@ -20,6 +20,7 @@
     expected_server=b'x-target-instance',
     load=b'x-backend-load',
     rate_limit=b'server-limit',
+    leaving=b'server-leaving',
     # Present only if the request was not run.
     not_run=b'x-not-executed',
     signature=b'x-response-signature',
@@ -31,7 +32,9 @@
 # A health check carries neither a request id nor an expected server; its
 # response carries the id of the server instead.
 HEALTH_DIALECT: Final = Dialect(
-    load=PLATFORM_DIALECT.load, rate_limit=PLATFORM_DIALECT.rate_limit
+    load=PLATFORM_DIALECT.load,
+    rate_limit=PLATFORM_DIALECT.rate_limit,
+    leaving=PLATFORM_DIALECT.leaving,
 )
 
 _SERVER_ID: Final = b'x-instance-id'
@@ -94,6 +97,16 @@
     return min(_FIGURE_MAX, *map(float, parts))
 
 
+def read_leaving(text: str) -> bool | None:
+    """Decode whether a server is about to stop.
+
+    :param text: values of the header, separated by commas.
+    :returns: ``None`` if it is neither 1 nor 0.
+    """
+    values = {part.strip() for part in text.split(',')}
+    return None if values - {'0', '1'} else '1' in values
+
+
 def read_server_id(headers: tuple[tuple[bytes, bytes], ...]) -> str:
     """Return the id of the server that responded to a health check.
 
--- a/tests/test_server_links.py
+++ b/tests/test_server_links.py
@@ -3,6 +3,7 @@
 from random import Random
 
 import anyio
+import msgspec
 import pytest
 
 from copperyard.entry_messages import (
@@ -16,6 +17,8 @@
 from copperyard.server_links import SILENCE_MIN_S, ServerLinks
 from tests.entry_builders import ManualClock, build_board, build_report
 
+# Fields of a heartbeat, with its tag, before it listed lost services.
+OLDER_HEARTBEAT_FIELDS = 9
 SERVERS = ('s1', 's2', 's3', 's4')
 
 
@@ -116,8 +119,11 @@
     content = encode_message(build_heartbeat(unreachable_services=('x',)))
     decoded = decode_datagram(content)
     assert decoded.unreachable_services == ('x',)
-    shorter = bytes((content[0] - 2,)) + content[1:-4]
-    assert decode_datagram(shorter).unreachable_services == ()
+    fields = msgspec.msgpack.decode(content)
+    older = msgspec.msgpack.encode(fields[:OLDER_HEARTBEAT_FIELDS])
+    assert decode_datagram(older).unreachable_services == ()
+    newer = msgspec.msgpack.encode([*fields, 'unknown'])
+    assert decode_datagram(newer).unreachable_services == ('x',)
     too_many = ('x',) * (LISTED_SERVICES_MAX + 1)
     heartbeat = build_heartbeat(unreachable_services=too_many)
     assert decode_datagram(encode_message(heartbeat)) is None
