Send nothing to servers while they have asked for a pause

What callers would see: requests that a server refuses, though it has said when it takes requests again, and retries that pile up there.

Cause: Retry-After of a refusal was parsed, if it was a whole number, and no module of the entry used it. Evidence: servers get requests at the rate that load and failures suggest, before and after the refusal.

Change: a refusal, any 503 and a health check with Retry-After pause the server for this entry; picks, probes and the check just before the first byte keep to it; fractions are read; after the pause one request at a time until one has run; if all servers pause, callers are refused at once with the time until the first takes requests.

--- a/copperyard/attempt_types.py
+++ b/copperyard/attempt_types.py
@@ -54,6 +54,8 @@
     :param is_sent: whether any byte of the request may have reached the
         server.
     :param retry_after_s: ``Retry-After`` of the response, 0 if absent.
+    :param unreadable_retry_after: ``Retry-After`` of the response if it could
+        not be read, empty otherwise.
     :param load: load report of the response, empty if absent.
     :param rate_limit: limit that the response names; ``None`` if absent.
     :param leaving: what the response says of whether the server is leaving;
@@ -66,6 +68,7 @@
     server_id: str
     is_sent: bool
     retry_after_s: float = 0.0
+    unreadable_retry_after: str = ''
     load: str = ''
     rate_limit: str | None = None
     leaving: str | None = None
--- a/copperyard/dispatching.py
+++ b/copperyard/dispatching.py
@@ -27,6 +27,8 @@
 from copperyard.load_reports import (
     record_leaving,
     record_load_report,
+    record_pause,
+    record_pause_header,
     record_rate_limit,
 )
 from copperyard.logs import log_event
@@ -433,8 +435,11 @@
         server: KnownServer,
         unsent_retry: ExitStack,
     ) -> bool:
-        # The server may have started to drain while the connection was opened.
+        # The server may have started to drain, or asked for a pause, while the
+        # connection was opened.
         now = self._board.clock()
+        if self._board.is_paused(server, now):
+            return False
         servers = self._board.list_servers(state.request.service, now)
         if not any(
             server.report.server_id == other.report.server_id
@@ -458,6 +463,7 @@
         match result:
             case AttemptFailure(kind=FailureKind.NOT_RUN):
                 load_text = result.load
+                self._record_pause(server, result)
                 # Only a response to a request that ran ends a limit.
                 if result.rate_limit is not None:
                     record_rate_limit(board, server, result.rate_limit, sent_at)
@@ -475,6 +481,10 @@
                 rate_limit = PLATFORM_DIALECT.find_rate_limit(result.headers)
                 record_rate_limit(board, server, rate_limit, sent_at)
                 is_success = result.status < _SERVER_ERROR
+                if is_success:
+                    load.end_trial()
+        if isinstance(result, Answered):
+            record_pause_header(board, server, result)
         board.record_outcome(server_id, load, is_success=is_success)
         record_load_report(board, server, load_text)
 
@@ -492,6 +502,13 @@
             case Answered() | StreamedResponse():
                 self._board.record_link_response(server)
 
+    def _record_pause(
+        self, server: KnownServer, refusal: AttemptFailure
+    ) -> None:
+        text = refusal.unreadable_retry_after
+        pause_s = None if text else refusal.retry_after_s
+        record_pause(self._board, server, pause_s, text)
+
     def _record_leaving(
         self, server: KnownServer, result: ForwardResult
     ) -> None:
--- a/copperyard/entry_board.py
+++ b/copperyard/entry_board.py
@@ -22,6 +22,7 @@
 from copperyard.routes import Route, RouteTable, ServiceConfig
 from copperyard.server_links import ServerLinks
 from copperyard.server_loads import LoadSample, ServerLoad
+from copperyard.server_pauses import ServerPauses
 from copperyard.server_table import KnownServer, ServerTable
 from copperyard.shared_retry_budget import SharedRetryBudget
 from copperyard.urgency import PriorityMix
@@ -51,6 +52,7 @@
     :param loads_by_id: load of each backend server, created on first use.
     :param rate_limits: limits that servers name, and this entry's shares.
     :param leaving_servers: servers that have said that they are leaving.
+    :param server_pauses: pauses that servers have asked this entry for.
     :param server_links: services whose servers this entry does not reach.
     :param crash_suspects: requests under which servers have ended.
     :param waiting_requests_by_service: number of requests that wait for a
@@ -80,6 +82,7 @@
     loads_by_id: dict[str, ServerLoad] = field(default_factory=dict)
     rate_limits: RateLimits = field(default_factory=RateLimits)
     leaving_servers: LeavingServers = field(default_factory=LeavingServers)
+    server_pauses: ServerPauses = field(default_factory=ServerPauses)
     server_links: ServerLinks = field(default_factory=ServerLinks)
     crash_suspects: CrashSuspects = field(default_factory=CrashSuspects)
     waiting_requests_by_service: Counter[str] = field(default_factory=Counter)
@@ -368,6 +371,34 @@
         self.metrics.count('server.leaving')
         log_event('server_leaving', server=server_id, source=source_ip)
 
+    def is_paused(self, server: KnownServer, now: float) -> bool:
+        """Return whether a server wants nothing from this entry now.
+
+        :param server: the server.
+        :param now: ``CLOCK_BOOTTIME`` in seconds.
+        """
+        pauses = self.server_pauses
+        return not pauses.is_empty and bool(
+            pauses.find_remaining_s(server.report, now)
+        )
+
+    def record_pause(self, server: KnownServer, pause_s: float) -> None:
+        """Record that a server wants nothing from this entry for some time.
+
+        :param server: the server.
+        :param pause_s: length of the pause in seconds.
+        """
+        if not pause_s:
+            return
+        self.find_load(server).start_trial()
+        self.metrics.count('pause.asked')
+        if self.server_pauses.record(server.report, pause_s, self.clock()):
+            log_event(
+                'server_paused',
+                server=server.report.server_id,
+                pause_s=round(pause_s, 3),
+            )
+
     def record_link_response(self, server: KnownServer) -> None:
         """Record that a server has sent something to this entry.
 
@@ -449,6 +480,7 @@
         self.rate_limits.forget_ended(
             self.server_table.servers_by_id.keys(), self.clock()
         )
+        self.server_pauses.forget_ended(self.clock())
         self.leaving_servers.forget_gone(
             self.server_table.servers_by_id.keys(), self.clock()
         )
--- a/copperyard/entry_gauges.py
+++ b/copperyard/entry_gauges.py
@@ -38,11 +38,20 @@
         for known in board.server_table.servers_by_id.values()
         if board.rate_limits.find(known.report) is not None
     )
+    paused_counts = Counter(
+        known.report.service
+        for known in board.server_table.servers_by_id.values()
+        if board.is_paused(known, now)
+    )
     for service, server_count in server_counts.items():
         metrics.gauge(
             add_labels('servers.limited', service=service),
             limited_counts[service],
         )
+        metrics.gauge(
+            add_labels('servers.paused', service=service),
+            paused_counts[service],
+        )
         metrics.gauge(
             add_labels('servers.known', service=service), server_count
         )
--- a/copperyard/exchanges.py
+++ b/copperyard/exchanges.py
@@ -26,6 +26,7 @@
 from copperyard.logs import log_event
 from copperyard.outcomes import Answered
 from copperyard.requests import compute_remaining_ms
+from copperyard.retry_after import find_retry_after, read_retry_after_s
 
 # Connecting takes about 1 ms. The kernel retransmits a lost SYN only after 1 s;
 # another server is tried well before that.
@@ -41,11 +42,8 @@
 # The server starts its idle timeout earlier than the pool does, so only this
 # fraction of the announced timeout is used.
 KEEP_ALIVE_FRACTION: Final = 0.8
-_RETRY_AFTER: Final = b'retry-after'
 _KEEP_ALIVE: Final = b'keep-alive'
 _TIMEOUT: Final = b'timeout'
-# Values of `Retry-After` with this many digits or more are ignored.
-_RETRY_AFTER_DIGITS_LIMIT: Final = 5
 _CONTENT_LENGTH: Final = b'content-length'
 _CONNECTION_ERRORS: Final = (
     OSError,
@@ -451,11 +449,14 @@
         head: ResponseHead,
         kind: FailureKind,
     ) -> AttemptFailure:
+        text = find_retry_after(head.headers)
+        retry_after_s = read_retry_after_s(text)
         return AttemptFailure(
             kind,
             self.server.server_id,
             is_sent=True,
-            retry_after_s=_read_retry_after_s(head.values_by_name),
+            retry_after_s=retry_after_s or 0.0,
+            unreadable_retry_after=text if retry_after_s is None else '',
             load=self._dialect.find_load(head.headers),
             rate_limit=self._dialect.find_rate_limit(head.headers),
             leaving=self._dialect.find_leaving(head.headers),
@@ -550,12 +551,3 @@
         headers,
         attempt.body,
     )
-
-
-def _read_retry_after_s(values_by_name: dict[bytes, bytes]) -> float:
-    retry_after = values_by_name.get(_RETRY_AFTER, b'')
-    # The date form of the header is ignored because it would require
-    # synchronized clocks.
-    if retry_after.isdigit() and len(retry_after) < _RETRY_AFTER_DIGITS_LIMIT:
-        return float(retry_after)
-    return 0.0
--- a/copperyard/link_controller.py
+++ b/copperyard/link_controller.py
@@ -58,9 +58,15 @@
             self._give_up_attempts(service)
 
     def _check(self, service: str) -> None:
-        servers = self._board.list_servers(service, self._board.clock())
+        now = self._board.clock()
+        servers = self._board.list_servers(service, now)
         if not servers:
             self._board.server_links.forget(service)
-        count = min(CHECKED_SERVERS, len(servers))
-        for server in self._random.sample(servers, count):
+        checked = [
+            server
+            for server in servers
+            if not self._board.is_paused(server, now)
+        ]
+        count = min(CHECKED_SERVERS, len(checked))
+        for server in self._random.sample(checked, count):
             self._prober.start(server)
--- a/copperyard/load_probing.py
+++ b/copperyard/load_probing.py
@@ -24,6 +24,7 @@
     record_cold_period,
     record_leaving,
     record_load_report,
+    record_pause_header,
     record_rate_limit,
 )
 from copperyard.logs import log_event
@@ -199,6 +200,7 @@
         # the server's cost: whether it really fails shows in its responses to
         # requests.
         load.needs_health_check = False
+        record_pause_header(board, server, result)
         if result.status != _OK:
             board.record_outcome(
                 server.report.server_id, load, is_success=False
--- a/copperyard/load_reports.py
+++ b/copperyard/load_reports.py
@@ -4,16 +4,20 @@
 
 from copperyard.entry_board import EntryBoard
 from copperyard.logs import log_event
+from copperyard.outcomes import Answered
 from copperyard.platform import (
     read_cold_left_s,
     read_leaving,
     read_load,
     read_rate_limit,
 )
+from copperyard.retry_after import find_retry_after, read_retry_after_s
 from copperyard.server_table import KnownServer
 
 LOGGED_CHARACTERS_MAX: Final = 64
 
+_REFUSAL_STATUS: Final = 503
+
 
 def record_load_report(
     board: EntryBoard, server: KnownServer, text: str
@@ -102,6 +106,44 @@
         )
 
 
+def record_pause(
+    board: EntryBoard,
+    server: KnownServer,
+    pause_s: float | None,
+    text: str = '',
+) -> None:
+    """Record the pause that a server asks for when it refuses a request.
+
+    :param board: receives the pause.
+    :param server: server that sent the response.
+    :param pause_s: length in seconds; ``None`` if it could not be read.
+    :param text: value that could not be read.
+    """
+    if pause_s is not None:
+        board.record_pause(server, pause_s)
+        return
+    board.metrics.count('pause.malformed')
+    log_event(
+        'pause_malformed',
+        server=server.report.server_id,
+        detail=text[:LOGGED_CHARACTERS_MAX],
+    )
+
+
+def record_pause_header(
+    board: EntryBoard, server: KnownServer, response: Answered
+) -> None:
+    """Record the pause that a response without the mark of a refusal asks for.
+
+    :param board: receives the pause.
+    :param server: server that sent the response.
+    :param response: any response; only the status of a refusal counts.
+    """
+    if response.status == _REFUSAL_STATUS:
+        text = find_retry_after(response.headers)
+        record_pause(board, server, read_retry_after_s(text), text)
+
+
 def _record_malformed(
     board: EntryBoard, server: KnownServer, detail: str
 ) -> None:
--- a/copperyard/outcomes.py
+++ b/copperyard/outcomes.py
@@ -16,6 +16,8 @@
     ``NO_CAPACITY``: backend servers exist, but none can take the request.
     ``RATE_LIMITED``: backend servers could take the request, but only at the
     rate that they have named, which is used up.
+    ``PAUSED``: all backend servers have asked this entry to send them nothing
+    for some time.
     ``QUARANTINED``: backend servers have ended while they ran the same request.
     ``LEAVING``: the proxy accepts no new requests.
     ``CLAIM_UNAVAILABLE``: the home of the request id, which is the member that
@@ -34,6 +36,7 @@
     NO_SERVER = 'no_server'
     NO_CAPACITY = 'no_capacity'
     RATE_LIMITED = 'rate_limited'
+    PAUSED = 'paused'
     QUARANTINED = 'quarantined'
     QUEUE_FULL = 'queue_full'
     DEADLINE_TOO_SHORT = 'deadline_too_short'
--- a/copperyard/picking.py
+++ b/copperyard/picking.py
@@ -77,7 +77,11 @@
     @property
     def is_preferred(self) -> bool:
         """Return whether it can be picked without probing other servers."""
-        return self.is_fresh and self.cost <= PREFERRED_COST_MAX
+        return (
+            self.is_fresh
+            and self.cost <= PREFERRED_COST_MAX
+            and not self.load.is_trial_running
+        )
 
 
 @dataclass(frozen=True, slots=True)
@@ -193,7 +197,23 @@
         candidates = self._list_candidates(_PickState(service))
         if candidates and not is_saturated(candidates):
             return FREE_SLOT_RETRY_AFTER_S
-        return self._draw_retry_after_s()
+        return self._find_shortest_pause_s(service) + self._draw_retry_after_s()
+
+    def _find_shortest_pause_s(self, service: str) -> float:
+        """Return when the first server takes requests again, in seconds.
+
+        :param service: name of the service.
+        :returns: 0 unless all servers have asked for a pause.
+        """
+        board = self._board
+        if board.server_pauses.is_empty:
+            return 0.0
+        now = board.clock()
+        remaining_s = (
+            board.server_pauses.find_remaining_s(server.report, now)
+            for server in board.list_servers(service, now)
+        )
+        return min(remaining_s, default=0.0)
 
     def _draw_retry_after_s(self) -> float:
         return SATURATED_RETRY_AFTER_S * self._draw_jitter()
@@ -228,6 +248,13 @@
             for server, _ in self._list_available(state, now)
             if (limit := self._board.rate_limits.find(server.report))
         ]
+        pause_s = self._find_shortest_pause_s(state.service)
+        if pause_s:
+            return NotRun(
+                RefusalReason.PAUSED,
+                pause_s + self._draw_retry_after_s(),
+                self._describe(state, ()),
+            )
         reason = RefusalReason.NO_SERVER
         retry_after_s = NO_SERVER_RETRY_AFTER_S * self._draw_jitter()
         if limits:
@@ -250,7 +277,8 @@
         with_free_slots = [
             candidate
             for candidate in candidates
-            if candidate.load.count_active_requests()
+            if not candidate.load.is_trial_running
+            and candidate.load.count_active_requests()
             < estimate.find_limit(candidate.load.sample.slots)
             + options.extra_slots
         ]
@@ -311,7 +339,11 @@
         for server in board.list_servers(state.service, now):
             load = board.find_load(server)
             is_excluded = server.report.server_id in state.excluded_ids
-            if not is_excluded and load.is_available(now):
+            if (
+                not is_excluded
+                and load.is_available(now)
+                and not board.is_paused(server, now)
+            ):
                 yield server, load
 
     def _may_send(
@@ -388,6 +420,8 @@
         load = candidate.load
         if candidate.is_fresh or now < load.backoff_until:
             return False
+        if self._board.is_paused(candidate.server, now):
+            return False
         if self._board.rate_limits.find(candidate.server.report) is not None:
             # A server that asks for fewer requests is spared health checks
             # too, except for the one that makes it usable again.
--- a/copperyard/server_loads.py
+++ b/copperyard/server_loads.py
@@ -59,6 +59,9 @@
         # Whether the server must answer a health check before it gets further
         # requests, because it may have restarted and be cold.
         self.needs_health_check = False
+        # Whether it gets one request at a time until it has run one, because
+        # it may ask for another pause.
+        self.is_on_trial = False
         self.failure_rate = FailureRate()
         self._sent_since_report = 0
         self._backoff_s = BACKOFF_MIN_S
@@ -181,6 +184,20 @@
         self.backoff_until = max(self.backoff_until, now + self._backoff_s)
         self._backoff_s = min(BACKOFF_MAX_S, 2 * self._backoff_s)
 
+    @property
+    def is_trial_running(self) -> bool:
+        """Return whether a request shows if the server works after a pause."""
+        return self.is_on_trial and bool(self.in_flight)
+
+    def start_trial(self) -> None:
+        """Require a health check and one request that runs, after a pause."""
+        self.needs_health_check = True
+        self.is_on_trial = True
+
+    def end_trial(self) -> None:
+        """End the trial after the server has run a request."""
+        self.is_on_trial = False
+
     def end_backoff(self, now: float) -> None:
         """End the back-off; a health check stays required.
 
--- a/tests/standins/platform.py
+++ b/tests/standins/platform.py
@@ -386,7 +386,11 @@
         return await self._execute(request, load)
 
     def _refuse(self, request, load):
-        headers = {'X-Not-Executed': '1', 'X-Backend-Load': load}
+        headers = {
+            'X-Request-Id': request.headers['x-request-id'],
+            'X-Not-Executed': '1',
+            'X-Backend-Load': load,
+        }
         if self.retry_after:
             headers['Retry-After'] = self.retry_after
             now = seconds_since_boot()
