Count the sends of the other entry, and keep lookups cheap

An entry that gets a refusal of another one that had sent the request to servers forgot those sends, so a hedge that was still running could have exceeded the attempts of the route; found by reading, the new test failed before (0 sends instead of 2). Lookups listed all that a heartbeat lists, for each caller; they read three fields of each entry now. Heartbeats list 16 lost services at most, so that long names fit into a datagram.

--- a/copperyard/dispatching.py
+++ b/copperyard/dispatching.py
@@ -192,14 +192,15 @@
         # The other entry may use all attempts that are left.
         attempts_left = state.route.max_attempts - state.attempts + 1
         state.attempts += attempts_left - 1
-        outcome = await forwarder.forward(
+        result = await forwarder.forward(
             state, attempts_left, partial(_record_forward, state, unsent_retry)
         )
-        if isinstance(outcome, NotRun):
-            state.attempts -= attempts_left
-            state.record_failure(self._complete_refusal(state, outcome))
+        state.attempts += result.sends - attempts_left
+        if isinstance(result.outcome, NotRun):
+            refusal = self._complete_refusal(state, result.outcome)
+            state.record_failure(refusal)
         else:
-            state.set_outcome(outcome)
+            state.set_outcome(result.outcome)
 
     def _complete_refusal(self, state: RequestState, refusal: NotRun) -> NotRun:
         if refusal.retry_after_s:
--- a/copperyard/entry_api.py
+++ b/copperyard/entry_api.py
@@ -307,27 +307,16 @@
         return 0 if self._board.routes is None else self._board.routes.version
 
     def _list_addresses(self, domain: str) -> list[str]:
-        board = self._board
-        now = board.clock()
-        settings = board.settings
-        port = settings.caller_address.rpartition(':')[2]
-        ready = [
-            peer.heartbeat
-            for peer in self._peers.list_alive(now)
-            if peer.heartbeat.is_ready
-        ]
-        if board.is_ready:
-            ready.append(self._peers.describe_self(now))
+        port = self._board.settings.caller_address.rpartition(':')[2]
+        entries = self._peers.list_ready(self._board.clock())
         # Entries that are cut off serve only through the others.
-        reaching = [beat for beat in ready if not beat.is_cut_off]
-        domains_by_ip = {
-            beat.ip: beat.failure_domain for beat in reaching or ready
-        }
+        reaching = [entry for entry in entries if not entry.is_cut_off]
+        candidates = reaching or entries
         local_ips = [
-            ip for ip, ip_domain in domains_by_ip.items() if ip_domain == domain
+            entry.ip for entry in candidates if entry.failure_domain == domain
         ]
         if len(local_ips) < LOCAL_ENTRIES_MIN:
-            local_ips = list(domains_by_ip)
+            local_ips = [entry.ip for entry in candidates]
         return [f'{ip}:{port}' for ip in sorted(local_ips)[:ADDRESSES_MAX]]
 
 
--- a/copperyard/entry_peers.py
+++ b/copperyard/entry_peers.py
@@ -57,7 +57,7 @@
 # its size.
 LISTED_SUSPECTS: Final = 12
 # Services listed in a heartbeat as unreachable; bounds its size.
-LISTED_SERVICES: Final = 32
+LISTED_SERVICES: Final = 16
 # Leaving servers listed in a heartbeat; bounds its size.
 LISTED_LEAVING: Final = 20
 # Shortest interval between heartbeats that are sent because of urgent news.
@@ -93,6 +93,20 @@
     is_leaving: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class ReadyEntry:
+    """An entry that accepts requests of callers.
+
+    :param ip: its IP address.
+    :param failure_domain: its failure domain.
+    :param is_cut_off: whether it has lost its links to most services.
+    """
+
+    ip: str
+    failure_domain: str
+    is_cut_off: bool
+
+
 class EntryPeers:
     """Tracks the other entries and exchanges datagrams with them.
 
@@ -147,6 +161,29 @@
             if now - peer.heard_at < suspect_after_s and not peer.is_leaving
         ]
 
+    def list_ready(self, now: float) -> list[ReadyEntry]:
+        """Return the entries that accept requests, also this one.
+
+        :param now: ``CLOCK_BOOTTIME`` in seconds.
+        """
+        ready = [
+            ReadyEntry(
+                peer.heartbeat.ip,
+                peer.heartbeat.failure_domain,
+                peer.heartbeat.is_cut_off,
+            )
+            for peer in self.list_alive(now)
+            if peer.heartbeat.is_ready
+        ]
+        board = self._board
+        if board.is_ready:
+            settings = board.settings
+            own = ReadyEntry(
+                settings.ip, settings.failure_domain, board.is_cut_off
+            )
+            ready.append(own)
+        return ready
+
     def contact(self, ips: Iterable[str]) -> None:
         """Send a heartbeat to entries not heard from yet, and keep trying.
 
--- a/copperyard/peer_forwarding.py
+++ b/copperyard/peer_forwarding.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable, Collection
 from dataclasses import dataclass, replace
 from random import Random
-from typing import Final, TypeAlias, TypeVar
+from typing import Final, TypeVar
 
 from copperyard.attempt_types import (
     Attempt,
@@ -34,7 +34,7 @@
     Unknown,
     UnknownReason,
 )
-from copperyard.request_states import RequestState
+from copperyard.request_states import DispatchOutcome, RequestState
 from copperyard.requests import CallerRequest
 
 # Entries that a request is offered to, one after another.
@@ -50,17 +50,23 @@
 UNREACHED_BACKOFF_S: Final = 1.0
 
 _Reason = TypeVar('_Reason', RefusalReason, UnknownReason)
-ForwardResult: TypeAlias = Answered | StreamedResponse | NotRun | Unknown
 
 
 @dataclass(frozen=True, slots=True)
-class _Untaken:
-    """No server has got the request from the other entry.
+class ForwardResult:
+    """Outcome of a request that was offered to other entries.
 
-    :param refusal: why.
+    :param outcome: outcome for the caller.
+    :param sends: servers that it was sent to, or may have been.
     """
 
-    refusal: NotRun
+    outcome: DispatchOutcome
+    sends: int
+
+    @property
+    def is_untaken(self) -> bool:
+        """Return whether a further entry may get the request."""
+        return isinstance(self.outcome, NotRun) and not self.sends
 
 
 class PeerForwarder:
@@ -129,13 +135,17 @@
         :param state: the request.
         :param attempts_max: servers that it may still be sent to.
         :param record_send: called before the request is sent to an entry.
-        :returns: outcome at the other entry; ``NotRun`` if no server has got
-            the request.
+        :returns: outcome at the last entry that was asked.
         """
         service = state.request.service
         tried_ips: set[str] = set()
-        refusal: NotRun | None = None
-        while len(tried_ips) < ENTRIES_TRIED_MAX:
+        result = ForwardResult(
+            NotRun(
+                RefusalReason.NO_SERVER, detail='no entry reaches the servers'
+            ),
+            sends=0,
+        )
+        while result.is_untaken and len(tried_ips) < ENTRIES_TRIED_MAX:
             ip = self.find_entry(service, tried_ips)
             if ip is None:
                 break
@@ -145,16 +155,10 @@
                 request=state.request.request_id,
                 service=service,
                 entry=ip,
-                sends=state.attempts,
                 attempts_max=attempts_max,
             )
             result = await self._send(state, ip, attempts_max, record_send)
-            if not isinstance(result, _Untaken):
-                return result
-            refusal = result.refusal
-        return refusal or NotRun(
-            RefusalReason.NO_SERVER, detail='no entry reaches the servers'
-        )
+        return result
 
     async def _send(
         self,
@@ -162,7 +166,7 @@
         ip: str,
         attempts_max: int,
         record_send: Callable[[], bool],
-    ) -> ForwardResult | _Untaken:
+    ) -> ForwardResult:
         now = self._board.clock()
         attempt = Attempt(
             request=_build_forwarded(state, attempts_max),
@@ -181,43 +185,51 @@
         finally:
             self._in_flight_by_ip[ip] -= 1
         if isinstance(result, AttemptFailure):
-            return self._evaluate_failure(state, ip, result)
-        return self._evaluate_response(state, ip, result)
+            return self._evaluate_failure(state, ip, result, attempts_max)
+        return self._evaluate_response(state, ip, result, attempts_max)
 
     def _evaluate_failure(
-        self, state: RequestState, ip: str, failure: AttemptFailure
-    ) -> Unknown | _Untaken:
+        self,
+        state: RequestState,
+        ip: str,
+        failure: AttemptFailure,
+        attempts_max: int,
+    ) -> ForwardResult:
         if failure.kind in {FailureKind.CONNECT_FAILED, FailureKind.RESET}:
             self._backoff_until_by_ip[ip] = (
                 self._board.clock() + UNREACHED_BACKOFF_S
             )
         self._log_failure(state, ip, failure.kind.value, failure.detail)
         if not failure.may_have_run:
-            return _Untaken(
-                NotRun(RefusalReason.NO_SERVER, detail=failure.detail)
-            )
+            refusal = NotRun(RefusalReason.NO_SERVER, detail=failure.detail)
+            return ForwardResult(refusal, sends=0)
         reason = UnknownReason.ANSWER_LOST
         if failure.kind is FailureKind.EXPIRED:
             reason = UnknownReason.DEADLINE_EXPIRED
-        return Unknown(reason, detail=f'entry {ip}: {failure.detail}')
+        outcome = Unknown(reason, detail=f'entry {ip}: {failure.detail}')
+        return ForwardResult(outcome, attempts_max)
 
     def _evaluate_response(
         self,
         state: RequestState,
         ip: str,
         response: Answered | StreamedResponse,
-    ) -> ForwardResult | _Untaken:
+        attempts_max: int,
+    ) -> ForwardResult:
         value = dict(response.headers).get(OUTCOME_HEADER, b'')
         outcome = decode_forwarded(value, ForwardedOutcome)
         if outcome is not None and outcome.kind is OutcomeKind.ANSWERED:
-            return _strip_response(response)
+            return ForwardResult(_strip_response(response), outcome.sends)
         if isinstance(response, StreamedResponse):
             response.close()
         if outcome is None:
             self._log_failure(state, ip, 'malformed', 'no valid outcome')
-            return Unknown(UnknownReason.ANSWER_MISMATCHED)
+            unknown = Unknown(UnknownReason.ANSWER_MISMATCHED)
+            return ForwardResult(unknown, attempts_max)
         self._log_failure(state, ip, outcome.reason, outcome.detail)
-        return _read_failure(state, outcome)
+        if outcome.kind is OutcomeKind.NOT_RUN:
+            state.possible_runs -= 1
+        return ForwardResult(_read_failure(outcome), outcome.sends)
 
     def _log_failure(
         self, state: RequestState, ip: str, reason: str, detail: str
@@ -254,22 +266,18 @@
     )
 
 
-def _read_failure(
-    state: RequestState, outcome: ForwardedOutcome
-) -> NotRun | Unknown | _Untaken:
+def _read_failure(outcome: ForwardedOutcome) -> NotRun | Unknown:
     if outcome.kind is OutcomeKind.UNKNOWN:
         return Unknown(
             _read_reason(UnknownReason, outcome.reason),
             outcome.retry_after_s,
             outcome.detail,
         )
-    state.possible_runs -= 1
-    refusal = NotRun(
+    return NotRun(
         _read_reason(RefusalReason, outcome.reason),
         outcome.retry_after_s,
         outcome.detail,
     )
-    return refusal if outcome.sends else _Untaken(refusal)
 
 
 def _strip_response(
--- a/tests/test_peer_forwarding.py
+++ b/tests/test_peer_forwarding.py
@@ -405,6 +405,25 @@
     assert received.is_counted
 
 
+@pytest.mark.parametrize(
+    ('outcome', 'sends'),
+    [
+        (None, 2),
+        (NotRun(RefusalReason.SERVER_REFUSED, 0.3), 2),
+        (NotRun(RefusalReason.NO_CAPACITY, 0.3), 0),
+        (Unknown(UnknownReason.ANSWER_LOST), 1),
+    ],
+)
+async def test_sends_of_the_other_entry_are_counted(outcome, sends):
+    """Guards against a retry that exceeds the attempts of the route."""
+    run = refuse(outcome, sends) if outcome else answer(sends=sends)
+    async with open_cut_entry(run) as (entry, _, _):
+        state = build_request_state(seconds_since_boot, max_attempts=3)
+        await entry.dispatcher.run(state)
+    assert state.attempts == sends
+    assert state.possible_runs == int(not isinstance(outcome, NotRun))
+
+
 async def test_retry_budget_counts_a_request_once():
     """Guards against retries that are allowed twice for one request."""
     async with open_cut_entry(answer()) as (entry, (helper,), _):
--- a/tests/test_server_links.py
+++ b/tests/test_server_links.py
@@ -1,18 +1,21 @@
 """Detection of lost links, and what other entries and callers learn of it."""
 
+import json
 from random import Random
 
 import anyio
 import msgspec
 import pytest
 
+from copperyard.caller_connections import ReceivedRequest
+from copperyard.entry_api import EntryApi
 from copperyard.entry_messages import (
     LISTED_SERVICES_MAX,
     Heartbeat,
     decode_datagram,
     encode_message,
 )
-from copperyard.entry_peers import LISTED_SERVICES, EntryPeers
+from copperyard.entry_peers import LISTED_SERVICES, EntryPeer, EntryPeers
 from copperyard.link_controller import LinkController
 from copperyard.server_links import SILENCE_MIN_S, ServerLinks
 from tests.entry_builders import ManualClock, build_board, build_report
@@ -218,3 +221,43 @@
 class _Replica:
     operator_end = 1
     operator_read_at = 0.0
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize(
+    ('cut_off_ips', 'named'),
+    [
+        ((), {'10.0.0.1', '10.0.0.2', '10.0.0.3'}),
+        (('10.0.0.1',), {'10.0.0.2', '10.0.0.3'}),
+        (('10.0.0.2',), {'10.0.0.1', '10.0.0.3'}),
+        (('10.0.0.2', '10.0.0.3'), {'10.0.0.1', '10.0.1.1'}),
+        (('10.0.0.1', '10.0.0.2', '10.0.0.3'), {'10.0.1.1'}),
+        (
+            ('10.0.0.1', '10.0.0.2', '10.0.0.3', '10.0.1.1'),
+            {'10.0.0.1', '10.0.0.2', '10.0.0.3'},
+        ),
+    ],
+)
+async def test_lookups_name_entries_that_reach_servers(cut_off_ips, named):
+    """Guards against callers sent to entries that only pass requests on."""
+    board = build_board(*SERVERS, ip='10.0.0.1')
+    peers = EntryPeers(board, _Replica(), Random(1))
+    if board.settings.ip in cut_off_ips:
+        _lose_links(board)
+    others = {'10.0.0.2': 'a', '10.0.0.3': 'a', '10.0.1.1': 'b'}
+    for ip, domain in others.items():
+        heartbeat = build_heartbeat(ip, domain, is_cut_off=ip in cut_off_ips)
+        peers.peers_by_ip[ip] = EntryPeer(board.clock(), heartbeat)
+    board.list_servers('ledger', board.clock())
+    api = EntryApi(board, None, peers, None, Random(1))
+    response = await api.serve_lookup(
+        ReceivedRequest(
+            'GET',
+            b'/copperyard/lookup?name=h.example&region=r&zone=a',
+            (),
+            board.clock(),
+            is_keep_alive=True,
+        )
+    )
+    addresses = json.loads(response.body)['addresses']
+    assert {address.partition(':')[0] for address in addresses} == named
