Forward requests between proxies when the links to servers are lost

The same fault as in the entry, looked for in agent and proxy: a proxy that reached none of its servers refused its callers, or kept them until their deadline, while other proxies served.

Cause: a proxy sends to its servers itself or refuses. Change: it detects the loss by the failures of its own servers, forwards requests to the address for callers of another proxy, at most once, before it claims an id, and gives up attempts that may be repeated.

--- a/copperyard/attempts.py
+++ b/copperyard/attempts.py
@@ -1,10 +1,13 @@
 """Execution of single attempts on backend servers."""
 
+from collections import defaultdict
 from collections.abc import Mapping
 from functools import partial
 from types import MappingProxyType
 from typing import Final, TypeAlias
 
+import anyio
+
 from copperyard.attempt_types import (
     Attempt,
     AttemptFailure,
@@ -67,6 +70,9 @@
         self._slots = slots
         self._loans = loans
         self._crashes = crashes
+        self._waiting_scopes_by_service: defaultdict[
+            str, set[anyio.CancelScope]
+        ] = defaultdict(set)
 
     async def run(
         self,
@@ -99,7 +105,7 @@
         result: ForwardResult | None = None
         address = self._build_address(slot)
         try:
-            result = await board.pool.forward(address, attempt)
+            result = await self._forward(slot.service, address, attempt)
         finally:
             if isinstance(result, StreamedResponse):
                 result.on_closed = partial(
@@ -108,8 +114,41 @@
             else:
                 self._release(slot, result, started_at)
         self._crashes.record_result(request, body, address, started_at, result)
+        board.record_link(
+            slot.service,
+            slot.server_id,
+            result if isinstance(result, AttemptFailure) else None,
+        )
         return result
 
+    def give_up(self, service: str) -> None:
+        """Give up the attempts at a service that may be repeated.
+
+        :param service: service whose servers this proxy does not reach.
+        """
+        for scope in tuple(self._waiting_scopes_by_service[service]):
+            scope.cancel()
+
+    async def _forward(
+        self, service: str, address: ServerAddress, attempt: Attempt
+    ) -> ForwardResult:
+        if not attempt.request.is_idempotent:
+            return await self._board.pool.forward(address, attempt)
+        result: ForwardResult | None = None
+        scopes = self._waiting_scopes_by_service[service]
+        with anyio.CancelScope() as scope:
+            scopes.add(scope)
+            try:
+                result = await self._board.pool.forward(address, attempt)
+            finally:
+                scopes.discard(scope)
+        return result or AttemptFailure(
+            FailureKind.SILENT,
+            address.server_id,
+            is_sent=True,
+            detail='links to the servers of the service are lost',
+        )
+
     def _release(
         self,
         slot: Slot,
--- a/copperyard/blackboard.py
+++ b/copperyard/blackboard.py
@@ -5,7 +5,13 @@
 
 import anyio
 
+from copperyard.attempt_types import (
+    UNREACHED_KINDS,
+    AttemptFailure,
+    FailureKind,
+)
 from copperyard.authority import AuthorityLevel
+from copperyard.clock import MILLISECONDS_PER_S, seconds_since_boot
 from copperyard.configuration import Configuration
 from copperyard.crash_suspects import Crash, CrashSuspects
 from copperyard.exchanges import BackendPool
@@ -20,6 +26,7 @@
 from copperyard.records import Member
 from copperyard.request_fingerprints import RequestFingerprints
 from copperyard.routing import Router
+from copperyard.server_links import ServerLinks
 from copperyard.settings import AgentSettings, ProxySettings
 from copperyard.snapshots import (
     CONFIGURATION_STATE_MACHINE,
@@ -29,6 +36,16 @@
 
 CONFIGURATION_STREAM: Final = 'configuration'
 
+# Failures after the server has sent something.
+_RESPONDED_KINDS: Final = frozenset(
+    (
+        FailureKind.NOT_RUN,
+        FailureKind.OTHER_SERVER,
+        FailureKind.TRUNCATED,
+        FailureKind.MISMATCHED,
+    )
+)
+
 
 class Signal:
     """Notifies tasks that wait for the next change."""
@@ -250,6 +267,8 @@
     :param drained_member_key: key of the member for which it drained.
     :param claims_handed: whether other members have taken over all claims.
     :param crash_suspects: requests under which servers have ended.
+    :param server_links: services whose servers this proxy does not reach.
+    :param links_lost: fired when the links to a service have been lost.
     :param changed: fired when the proxy should report to its agent.
     """
 
@@ -266,6 +285,8 @@
     drained_member_key: str = ''
     claims_handed: bool = False
     crash_suspects: CrashSuspects = field(default_factory=CrashSuspects)
+    server_links: ServerLinks = field(default_factory=ServerLinks)
+    links_lost: Signal = field(default_factory=Signal)
     changed: Signal = field(default_factory=Signal)
 
     @property
@@ -284,6 +305,46 @@
             return AuthorityLevel.NONE
         return self.grant.authority.level_at(now)
 
+    def record_link(
+        self, service: str, server_id: str, failure: AttemptFailure | None
+    ) -> None:
+        """Record whether a server has sent something to this proxy.
+
+        :param service: service of the server.
+        :param server_id: id of the server.
+        :param failure: how the attempt failed; ``None`` for a response.
+        """
+        links = self.server_links
+        now = seconds_since_boot()
+        if failure is None or failure.kind in _RESPONDED_KINDS:
+            lost_s = links.record_response(service, now)
+            if lost_s is not None:
+                self.metrics.count('links.restored')
+                log_event(
+                    'links_restored',
+                    service=service,
+                    server=server_id,
+                    lost_ms=round(lost_s * MILLISECONDS_PER_S),
+                )
+        elif failure.kind in UNREACHED_KINDS:
+            count = self._count_owned(service)
+            if links.record_failure(service, server_id, count, now):
+                self.links_lost.fire()
+                self.metrics.count('links.lost')
+                log_event(
+                    'links_lost',
+                    service=service,
+                    servers=count,
+                    last_server=server_id,
+                    reason=failure.kind.value,
+                )
+
+    def _count_owned(self, service: str) -> int:
+        servers = self.grant.servers_by_id.values() if self.grant else ()
+        return sum(
+            server.owned and server.service == service for server in servers
+        )
+
     def record_crash(
         self,
         fingerprints: RequestFingerprints,
--- a/copperyard/caller_api.py
+++ b/copperyard/caller_api.py
@@ -29,7 +29,10 @@
 )
 from copperyard.requests import (
     BODY_LIMIT_BYTES,
+    OUTCOME_HEADER,
+    REASON_HEADER,
     REQUEST_ID_HEADER,
+    RETRY_AFTER_MS_HEADER,
     SERVICE_HEADER,
     CallerRequest,
     parse_request,
@@ -37,7 +40,7 @@
 from copperyard.serving import Receive, Scope, Send
 
 LOOKUP_PATH: Final = '/copperyard/v1/entries'
-ANSWERED_HEADER: Final = (b'copperyard-outcome', b'answered')
+ANSWERED_HEADER: Final = (OUTCOME_HEADER, b'answered')
 _JSON_HEADER: Final = (b'content-type', b'application/json')
 _STATUSES_BY_REASON: Final[Mapping[RefusalReason, HTTPStatus]] = (
     MappingProxyType(
@@ -185,11 +188,11 @@
         }
         headers = [
             _JSON_HEADER,
-            (b'copperyard-outcome', outcome_name.encode()),
-            (b'copperyard-reason', outcome.reason.encode()),
+            (OUTCOME_HEADER, outcome_name.encode()),
+            (REASON_HEADER, outcome.reason.encode()),
             (REQUEST_ID_HEADER, request_id.encode('ascii', 'replace')),
             (b'retry-after', retry_after_s),
-            (b'copperyard-retry-after-ms', str(retry_after_ms).encode()),
+            (RETRY_AFTER_MS_HEADER, str(retry_after_ms).encode()),
         ]
         await _send_response(send, status, headers, json.dumps(body).encode())
 
--- a/copperyard/forwarding.py
+++ b/copperyard/forwarding.py
@@ -1,8 +1,10 @@
 """Forwarding of callers' requests, from admission to the final outcome."""
 
 from collections.abc import Callable
+from dataclasses import replace
 from functools import partial
-from typing import TypeAlias
+from random import Random
+from typing import Final, TypeAlias
 
 import anyio
 from anyio.abc import TaskGroup
@@ -25,6 +27,7 @@
     Unknown,
     UnknownReason,
 )
+from copperyard.proxy_forwarding import ProxyForwarder
 from copperyard.requests import CallerRequest
 from copperyard.retries import (
     GiveUp,
@@ -40,6 +43,9 @@
 from copperyard.routing import LocalSlot
 from copperyard.slots import NO_AUTHORITY_RETRY_AFTER_S, SlotAllocator
 
+# Time between the loss of the links to a service and the end of attempts there.
+LINK_CHECK_INTERVAL_S: Final = 0.25
+
 FinalOutcome: TypeAlias = Answered | StreamedResponse | NotRun | Unknown
 
 
@@ -64,6 +70,7 @@
     :param claims: claims the ids of non-idempotent requests.
     :param hedges: starts hedges.
     :param tasks: task group in which hedges run.
+    :param random: draws the proxy that a request is forwarded to.
     """
 
     def __init__(
@@ -74,6 +81,7 @@
         claims: ClaimManager,
         hedges: HedgeScheduler,
         tasks: TaskGroup,
+        random: Random | None = None,
     ) -> None:
         self._board = board
         self._slots = slots
@@ -84,6 +92,7 @@
         self._crashes = CrashReports(board, tasks)
         self._runner = AttemptRunner(board, slots, loans, self._crashes)
         self._budgets_by_service: dict[str, RetryBudget] = {}
+        self._proxies = ProxyForwarder(board, random or Random())
 
     async def forward(
         self,
@@ -97,6 +106,13 @@
         :returns: the response, or the reason why there is none.
         """
         times = _RequestTimes(seconds_since_boot(), request.remaining_s)
+        if self._should_forward(request):
+            # The other proxy claims the id of a non-idempotent request.
+            forwarded = await self._proxies.forward(
+                request, body, times.deadline
+            )
+            if forwarded is not None:
+                return forwarded
         if request.is_idempotent:
             return await self._process(request, body, times)
         claim = await self._claims.claim(request)
@@ -110,6 +126,24 @@
                 await self._claims.finish(claim, outcome)
         return outcome
 
+    async def monitor_links(self) -> None:
+        """Give up attempts when links stay lost, until cancelled.
+
+        Timers of a process that was suspended expire before it reads the
+        responses, so the loss is not acted on at once.
+        """
+        while True:
+            await self._board.links_lost.wait(LINK_CHECK_INTERVAL_S)
+            services = tuple(self._board.server_links.lost_services)
+            if services:
+                await anyio.sleep(LINK_CHECK_INTERVAL_S)
+            for service in filter(self._board.server_links.is_lost, services):
+                self._runner.give_up(service)
+
+    def _should_forward(self, request: CallerRequest) -> bool:
+        links = self._board.server_links
+        return links.is_lost(request.service) and not request.is_forwarded
+
     async def _process(
         self,
         request: CallerRequest,
@@ -187,6 +221,11 @@
             progress = decision.progress
             step = decision.step
             if isinstance(step, RetryElsewhere):
+                forwarded = await self._forward_retry(
+                    request, body, step.reason, times
+                )
+                if forwarded is not None:
+                    return forwarded
                 retry_slot = await self._acquire_retry_slot(
                     request, step.reason, progress
                 )
@@ -198,6 +237,21 @@
                 step = decide_retry(progress, no_slot, current_conditions).step
             return _extract_outcome(step)
 
+    async def _forward_retry(
+        self,
+        request: CallerRequest,
+        body: bytes,
+        reason: RetryReason,
+        times: '_RequestTimes',
+    ) -> FinalOutcome | None:
+        # The claim on the id of a non-idempotent request is held here.
+        if not (request.is_idempotent and self._should_forward(request)):
+            return None
+        self._get_budget(request.service).take_token(seconds_since_boot())
+        self._board.metrics.count_retry(reason)
+        retried = replace(request, retry_level=1)
+        return await self._proxies.forward(retried, body, times.deadline)
+
     def _create_attempt(
         self,
         request: CallerRequest,
--- a/copperyard/outcomes.py
+++ b/copperyard/outcomes.py
@@ -2,7 +2,7 @@
 
 import enum
 from dataclasses import dataclass
-from typing import TypeAlias
+from typing import TypeAlias, TypeVar
 
 
 class RefusalReason(enum.StrEnum):
@@ -70,6 +70,22 @@
     INTERNAL_ERROR = 'internal_error'
 
 
+_Reason = TypeVar('_Reason', RefusalReason, UnknownReason)
+
+
+def read_reason(reasons: type[_Reason], text: str) -> _Reason:
+    """Return the reason of this name, as another process has sent it.
+
+    :param reasons: ``RefusalReason`` or ``UnknownReason``.
+    :param text: name of the reason.
+    :returns: ``INTERNAL_ERROR`` for a name that only another version knows.
+    """
+    try:
+        return reasons(text)
+    except ValueError:
+        return reasons('internal_error')
+
+
 class RetryReason(enum.StrEnum):
     """Why a request is retried."""
 
--- a/copperyard/peer_forwarding.py
+++ b/copperyard/peer_forwarding.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable, Collection
 from dataclasses import dataclass, replace
 from random import Random
-from typing import Final, TypeVar
+from typing import Final
 
 from copperyard.attempt_types import (
     Attempt,
@@ -33,6 +33,7 @@
     RefusalReason,
     Unknown,
     UnknownReason,
+    read_reason,
 )
 from copperyard.request_states import DispatchOutcome, RequestState
 from copperyard.requests import CallerRequest
@@ -49,8 +50,6 @@
 # An entry that could not be reached is not tried again for this time.
 UNREACHED_BACKOFF_S: Final = 1.0
 
-_Reason = TypeVar('_Reason', RefusalReason, UnknownReason)
-
 
 @dataclass(frozen=True, slots=True)
 class ForwardResult:
@@ -269,12 +268,12 @@
 def _read_failure(outcome: ForwardedOutcome) -> NotRun | Unknown:
     if outcome.kind is OutcomeKind.UNKNOWN:
         return Unknown(
-            _read_reason(UnknownReason, outcome.reason),
+            read_reason(UnknownReason, outcome.reason),
             outcome.retry_after_s,
             outcome.detail,
         )
     return NotRun(
-        _read_reason(RefusalReason, outcome.reason),
+        read_reason(RefusalReason, outcome.reason),
         outcome.retry_after_s,
         outcome.detail,
     )
@@ -288,11 +287,3 @@
         return replace(response, headers=headers)
     response.headers = headers
     return response
-
-
-def _read_reason(reasons: type[_Reason], text: str) -> _Reason:
-    """Return a reason, also for one that only a newer version knows."""
-    try:
-        return reasons(text)
-    except ValueError:
-        return reasons('internal_error')
--- a/copperyard/probe_controller.py
+++ b/copperyard/probe_controller.py
@@ -76,6 +76,11 @@
         board.router.release(slot, AttemptOutcome.UNUSED, seconds_since_boot())
     # The report applies before the slot is assigned to a queued request.
     _apply_result(board, slot.server_id, result)
+    board.record_link(
+        slot.service,
+        slot.server_id,
+        result if isinstance(result, AttemptFailure) else None,
+    )
     slots.dispatch()
 
 
--- a/copperyard/proxy.py
+++ b/copperyard/proxy.py
@@ -89,18 +89,20 @@
         )
         tasks.start_soon(send_probes, board, slots, tasks)
         tasks.start_soon(monitor_drain, board, claims)
-        hedges = HedgeScheduler()
-        tasks.start_soon(hedges.run)
-        tasks.start_soon(
-            _serve_callers,
-            board,
-            Forwarder(board, slots, loans, claims, hedges, tasks),
-            signals,
-            tasks,
+        forwarder = Forwarder(
+            board, slots, loans, claims, _start_hedges(tasks), tasks, random
         )
+        tasks.start_soon(forwarder.monitor_links)
+        tasks.start_soon(_serve_callers, board, forwarder, signals, tasks)
         log_event('proxy_started', address=settings.caller_address)
 
 
+def _start_hedges(tasks: TaskGroup) -> HedgeScheduler:
+    hedges = HedgeScheduler()
+    tasks.start_soon(hedges.run)
+    return hedges
+
+
 async def _serve_peers(
     settings: ProxySettings,
     claims: ClaimManager,
--- a/copperyard/requests.py
+++ b/copperyard/requests.py
@@ -28,6 +28,10 @@
 DEADLINE_HEADER: Final = b'copperyard-deadline-ms'
 IDEMPOTENT_HEADER: Final = b'copperyard-idempotent'
 RETRY_LEVEL_HEADER: Final = b'copperyard-retry-level'
+FORWARDED_HEADER: Final = b'copperyard-forwarded'
+OUTCOME_HEADER: Final = b'copperyard-outcome'
+REASON_HEADER: Final = b'copperyard-reason'
+RETRY_AFTER_MS_HEADER: Final = b'copperyard-retry-after-ms'
 CONTENT_LENGTH_HEADER: Final = b'content-length'
 
 IDEMPOTENT_METHODS: Final = frozenset(
@@ -95,6 +99,8 @@
         framing and ``Copperyard-`` headers.
     :param content_length: declared length of the body, ``None`` if unknown.
     :param caller_ip: IP address of the caller; empty if unknown.
+    :param is_forwarded: whether the proxy of another entry VM has forwarded the
+        request; it is not forwarded once more.
     """
 
     service: str
@@ -108,6 +114,7 @@
     headers: tuple[Header, ...]
     content_length: int | None
     caller_ip: str = ''
+    is_forwarded: bool = False
 
     @property
     def is_bodyless(self) -> bool:
@@ -169,6 +176,7 @@
         headers=forwarded,
         content_length=_read_content_length(reader),
         caller_ip=_read_caller_ip(scope),
+        is_forwarded=reader.read_choice(FORWARDED_HEADER, _BOOLEANS, False),
     )
     if reader.refusal is None:
         return Success(request)
--- a/tests/bound_launcher.py
+++ b/tests/bound_launcher.py
@@ -1,14 +1,13 @@
-"""Starts an entry whose connections come from its own loopback address.
+"""Runs a module whose connections come from a loopback address of their own.
 
 On loopback, connections come from 127.0.0.1 otherwise, and a stand-in could not
-tell by whom they were opened.
+tell by whom they were opened. The arguments are the address, the module and the
+arguments of that.
 """
 
-import os
 import runpy
 import socket
-import tomllib
-from pathlib import Path
+import sys
 
 _connect_ex = socket.socket.connect_ex
 
@@ -23,6 +22,7 @@
 
 
 if __name__ == '__main__':
-    settings = tomllib.loads(Path(os.environ['COPPERYARD_CONFIG']).read_text())
-    socket.socket.connect_ex = _connect_from(settings['ip'])
-    runpy.run_module('copperyard.launcher', run_name='__main__')
+    socket.socket.connect_ex = _connect_from(sys.argv[1])
+    sys.argv[1:] = sys.argv[2:]
+    module = sys.argv.pop(1)
+    runpy.run_module(module, run_name='__main__')
--- a/tests/entry_processes.py
+++ b/tests/entry_processes.py
@@ -44,9 +44,7 @@
 class Entry:
     """An entry process, and a client for its interfaces."""
 
-    def __init__(
-        self, ip, folder, store, zone='a', launcher='copperyard.launcher'
-    ):
+    def __init__(self, ip, folder, store, zone='a', *, binds_source=False):
         self.ip = ip
         self.client = HttpClient()
         self._path = folder / f'{ip}.toml'
@@ -61,8 +59,9 @@
                 lookup=LOOKUP_PORT,
             ),
         )
+        launcher = ('tests.bound_launcher', ip) if binds_source else ()
         self.process = subprocess.Popen(
-            [sys.executable, '-m', launcher, 'entry'],
+            [sys.executable, '-m', *launcher, 'copperyard.launcher', 'entry'],
             env={**os.environ, 'COPPERYARD_CONFIG': str(self._path)},
             stdout=(folder / f'{ip}.log').open('wb'),
             stderr=subprocess.STDOUT,
@@ -130,9 +129,9 @@
 
 
 @asynccontextmanager
-async def run_entries(folder, store, *ips, launcher='copperyard.launcher'):
+async def run_entries(folder, store, *ips):
     """Run ready entry processes, and kill them at the end."""
-    started = [Entry(ip, folder, store, launcher=launcher) for ip in ips]
+    started = [Entry(ip, folder, store) for ip in ips]
     try:
         for entry in started:
             assert await wait_until(entry.is_ready, 15)
--- a/tests/scenarios/harness.py
+++ b/tests/scenarios/harness.py
@@ -18,6 +18,7 @@
     Crash,
     EntryDisruption,
     History,
+    LinksCut,
     Overload,
     PlannedStop,
     Run,
@@ -40,6 +41,8 @@
 DEFAULT_COLD_S: Final = 3.0
 #: Index for counters without runs.
 AFTER_LAST_RUN: Final = 1_000_000_000
+#: Entry 1 connects from 127.0.0.61 where servers have to tell entries apart.
+SOURCE_HOST_BASE: Final = 60
 _CONTROLS_BY_MODE: Final[dict[str, dict[str, Any]]] = {
     'slow': {'slow': 10.0},
     'draining': {'drain': True},
@@ -51,6 +54,10 @@
 }
 
 
+def _find_source_ip(number: int) -> str:
+    return f'127.0.0.{SOURCE_HOST_BASE + number}'
+
+
 class Harness:
     """Starts the cell of one scenario, injects its faults, records events.
 
@@ -275,7 +282,11 @@
             name = f'{program}-{number}'
             path = self._folder / f'{name}.json'
             path.write_text(json.dumps(settings))
-            self._processes.start(name, f'copperyard.{program}', str(path))
+            command = [f'copperyard.{program}', str(path)]
+            if self._has_cut_from_servers():
+                source_ip = _find_source_ip(number)
+                command = ['tests.bound_launcher', source_ip, *command]
+            self._processes.start(name, *command)
 
     async def _is_ready(self, entry: dict[str, str]) -> bool:
         for service in self.scenario.services:
@@ -356,6 +367,8 @@
                     )
             case 'reload':
                 self._send_signal(names, signal.SIGHUP)
+            case 'cut' if fault.side == 'servers':
+                await self._cut_from_servers(fault)
             case 'stop':
                 self._send_signal(names, signal.SIGTERM)
                 with suppress(TimeoutError):
@@ -389,6 +402,19 @@
                 )
                 self.events.append(disruption)
 
+    def _has_cut_from_servers(self) -> bool:
+        return any(fault.side == 'servers' for fault in self.scenario.faults)
+
+    async def _cut_from_servers(self, fault: Fault) -> None:
+        since = seconds_since_boot()
+        self.events.append(LinksCut(fault.entry, since, since + fault.span))
+        source_ip = _find_source_ip(fault.entry)
+        for address in self.servers.values():
+            await self._post_control(address, cut_source=source_ip)
+        await asyncio.sleep(fault.span)
+        for address in self.servers.values():
+            await self._post_control(address, clear=True)
+
     def _send_signal(
         self, names: list[str], signal_number: signal.Signals
     ) -> None:
--- a/tests/scenarios/platform_harness.py
+++ b/tests/scenarios/platform_harness.py
@@ -87,7 +87,7 @@
             self._folder,
             platform.store_address,
             domains[(number - 1) % len(domains)],
-            launcher='tests.bound_launcher',
+            binds_source=True,
         )
 
     def _kill_entry(self, number: int) -> None:
--- a/tests/standins/backend_server.py
+++ b/tests/standins/backend_server.py
@@ -91,6 +91,8 @@
         of a response.
     :param cross: responses with the id of the connection's previous request.
     :param no_echo: responses without a request id.
+    :param cut_source: IP address whose connections stay open while all their
+        bytes are dropped.
     """
 
     drain: bool = False
@@ -103,6 +105,7 @@
     reset: int = 0
     cross: int = 0
     no_echo: int = 0
+    cut_source: str = ''
 
 
 @dataclass(slots=True)
@@ -195,6 +198,8 @@
         Bytes received before the previous response count as pipelining and
         stay in the buffer until that response is sent.
         """
+        if self.is_cut:
+            return
         self.buffer += chunk
         if self.exchange is not None:
             self.server.pipelined_count += 1
@@ -240,7 +245,7 @@
                 self.exchange.request_id or self.previous_request_id
             )
         self.exchange = None
-        if not self.is_open:
+        if not self.is_open or self.is_cut:
             return
         self.transport.write(b''.join(parts))
         if close:
@@ -248,6 +253,14 @@
         elif self.buffer:
             self.parse_request()
 
+    @property
+    def is_cut(self) -> bool:
+        """Whether bytes in both directions are dropped."""
+        cut_source = self.server.faults.cut_source
+        if not cut_source or self.transport is None:
+            return False
+        return self.transport.get_extra_info('peername')[0] == cut_source
+
     @property
     def is_open(self) -> bool:
         """Whether a response can still be sent."""
