--- a/copperyard/entry_api.py
+++ b/copperyard/entry_api.py
@@ -14,7 +14,6 @@
 from copperyard.entry_messages import encode_message
 from copperyard.entry_peers import EntryPeers
 from copperyard.fault_barriers import FaultBarrier
-from copperyard.forwarded_requests import FORWARDED_HEADER
 from copperyard.forwarded_serving import ForwardedRequestServer
 from copperyard.http_calls import build_request
 from copperyard.logs import log_event
@@ -33,7 +32,7 @@
     read_caller_domain,
 )
 from copperyard.request_states import DispatchOutcome, RequestState
-from copperyard.requests import HOP_BY_HOP_HEADERS
+from copperyard.requests import FORWARDED_HEADER, HOP_BY_HOP_HEADERS
 from copperyard.routes import RequestLimits, Route
 from copperyard.store_poller import SNAPSHOT_PATH
 from copperyard.store_replica import StoreReplica
--- a/copperyard/forwarded_requests.py
+++ b/copperyard/forwarded_requests.py
@@ -20,8 +20,6 @@
 FORWARD_DIALECT: Final = Dialect(
     request_id=REQUEST_ID_HEADER, deadline=DEADLINE_HEADER
 )
-FORWARDED_HEADER: Final = b'copperyard-forwarded'
-OUTCOME_HEADER: Final = b'copperyard-outcome'
 
 _SECONDS_MAX: Final = 86_400
 _ATTEMPTS_MAX: Final = 1_000
--- a/copperyard/forwarded_serving.py
+++ b/copperyard/forwarded_serving.py
@@ -12,8 +12,6 @@
 from copperyard.exchanges import StreamedResponse
 from copperyard.fault_barriers import FaultBarrier
 from copperyard.forwarded_requests import (
-    FORWARDED_HEADER,
-    OUTCOME_HEADER,
     ForwardedOutcome,
     ForwardedRequest,
     OutcomeKind,
@@ -27,7 +25,9 @@
 from copperyard.request_states import DispatchOutcome, RequestState
 from copperyard.requests import (
     DEADLINE_HEADER,
+    FORWARDED_HEADER,
     HOP_BY_HOP_HEADERS,
+    OUTCOME_HEADER,
     REQUEST_ID_HEADER,
 )
 from copperyard.routes import Route, WeightedService
--- a/copperyard/peer_forwarding.py
+++ b/copperyard/peer_forwarding.py
@@ -17,8 +17,6 @@
 from copperyard.exchanges import BackendPool, StreamedResponse
 from copperyard.forwarded_requests import (
     FORWARD_DIALECT,
-    FORWARDED_HEADER,
-    OUTCOME_HEADER,
     ForwardedOutcome,
     ForwardedRequest,
     OutcomeKind,
@@ -36,7 +34,11 @@
     read_reason,
 )
 from copperyard.request_states import DispatchOutcome, RequestState
-from copperyard.requests import CallerRequest
+from copperyard.requests import (
+    FORWARDED_HEADER,
+    OUTCOME_HEADER,
+    CallerRequest,
+)
 
 # Entries that a request is offered to, one after another.
 ENTRIES_TRIED_MAX: Final = 3
--- a/tests/test_peer_forwarding.py
+++ b/tests/test_peer_forwarding.py
@@ -20,7 +20,6 @@
 from copperyard.entry_peers import EntryPeer
 from copperyard.exchanges import BackendPool, StreamedResponse
 from copperyard.forwarded_requests import (
-    FORWARDED_HEADER,
     ForwardedOutcome,
     ForwardedRequest,
     OutcomeKind,
@@ -39,6 +38,7 @@
     UnknownReason,
 )
 from copperyard.peer_forwarding import PeerForwarder
+from copperyard.requests import FORWARDED_HEADER
 from copperyard.routes import RequestLimits
 from tests.entry_builders import (
     build_board,
