--- a/tests/entry_builders.py
+++ b/tests/entry_builders.py
@@ -1,6 +1,7 @@
 """Builders of boards, servers and routes for tests of the entry process."""
 
 from copperyard.entry_board import EntryBoard
+from copperyard.entry_messages import Heartbeat
 from copperyard.entry_settings import EntryBounds, EntrySettings
 from copperyard.http_calls import build_request
 from copperyard.metrics import Metrics
@@ -105,6 +106,22 @@
     return ServerReport(**{**fields, **changes})
 
 
+def build_heartbeat(ip='10.0.0.2', domain='a', **changes):
+    """Build the heartbeat of a ready entry.
+
+    :param changes: fields that differ from the defaults.
+    """
+    fields = {
+        'ip': ip,
+        'failure_domain': domain,
+        'is_ready': True,
+        'operator_end': 1,
+        'operator_age_s': 0.0,
+        'known_ips': (),
+    }
+    return Heartbeat(**{**fields, **changes})
+
+
 class ManualClock:
     """A clock that only the test advances."""
 
--- a/tests/test_peer_forwarding.py
+++ b/tests/test_peer_forwarding.py
@@ -16,7 +16,6 @@
 from copperyard.clock import seconds_since_boot
 from copperyard.dispatching import Dispatcher
 from copperyard.entry_api import EntryApi
-from copperyard.entry_messages import Heartbeat
 from copperyard.entry_peers import EntryPeer
 from copperyard.exchanges import BackendPool, StreamedResponse
 from copperyard.forwarded_requests import (
@@ -42,6 +41,7 @@
 from copperyard.routes import RequestLimits
 from tests.entry_builders import (
     build_board,
+    build_heartbeat,
     build_request_state,
 )
 
@@ -139,15 +139,7 @@
 
 def build_peer(ip, domain='a', **changes):
     """Build an entry that has just been heard."""
-    fields = {
-        'ip': ip,
-        'failure_domain': domain,
-        'is_ready': True,
-        'operator_end': 1,
-        'operator_age_s': 0.0,
-        'known_ips': (),
-    }
-    return EntryPeer(0.0, Heartbeat(**{**fields, **changes}))
+    return EntryPeer(0.0, build_heartbeat(ip, domain, **changes))
 
 
 class PortPool(BackendPool):
--- a/tests/test_server_links.py
+++ b/tests/test_server_links.py
@@ -11,14 +11,18 @@
 from copperyard.entry_api import EntryApi
 from copperyard.entry_messages import (
     LISTED_SERVICES_MAX,
-    Heartbeat,
     decode_datagram,
     encode_message,
 )
 from copperyard.entry_peers import LISTED_SERVICES, EntryPeer, EntryPeers
 from copperyard.link_controller import LinkController
 from copperyard.server_links import SILENCE_MIN_S, ServerLinks
-from tests.entry_builders import ManualClock, build_board, build_report
+from tests.entry_builders import (
+    ManualClock,
+    build_board,
+    build_heartbeat,
+    build_report,
+)
 
 # Fields of a heartbeat, with its tag, before it listed lost services.
 OLDER_HEARTBEAT_FIELDS = 9
@@ -34,19 +38,6 @@
     return any(results)
 
 
-def build_heartbeat(ip='10.0.0.2', domain='a', **changes):
-    """Build the heartbeat of a ready entry."""
-    fields = {
-        'ip': ip,
-        'failure_domain': domain,
-        'is_ready': True,
-        'operator_end': 1,
-        'operator_age_s': 0.0,
-        'known_ips': (),
-    }
-    return Heartbeat(**{**fields, **changes})
-
-
 def test_several_failing_servers_show_lost_links():
     """Guards against an entry that never learns that its links are lost."""
     links = ServerLinks()
