Test that explain follows a request over two entries

The walk of the operations page for forwarded requests had no test. It passes on the logs of two processes, of which one is cut from the servers.

--- a/tests/entry_processes.py
+++ b/tests/entry_processes.py
@@ -129,9 +129,11 @@
 
 
 @asynccontextmanager
-async def run_entries(folder, store, *ips):
+async def run_entries(folder, store, *ips, binds_source=False):
     """Run ready entry processes, and kill them at the end."""
-    started = [Entry(ip, folder, store) for ip in ips]
+    started = [
+        Entry(ip, folder, store, binds_source=binds_source) for ip in ips
+    ]
     try:
         for entry in started:
             assert await wait_until(entry.is_ready, 15)
--- a/tests/test_operations_walks.py
+++ b/tests/test_operations_walks.py
@@ -11,6 +11,7 @@
 
 pytestmark = [pytest.mark.anyio, pytest.mark.timeout(60)]
 IP = '127.0.0.24'
+OTHER_IP = '127.0.0.25'
 
 
 async def send_concurrently(folder, server, *requests):
@@ -27,11 +28,13 @@
         )
 
 
-def explain(folder, capsys, request_id):
-    """Return the lines that ``copperyard explain`` prints for a request."""
-    assert run(['explain', request_id, str(folder / f'{IP}.log')]) == (
-        ExitCode.SUCCESS
-    )
+def explain(folder, capsys, request_id, *ips):
+    """Return the lines that ``copperyard explain`` prints for a request.
+
+    :param ips: entries whose logs are read.
+    """
+    logs = [str(folder / f'{ip}.log') for ip in ips or (IP,)]
+    assert run(['explain', request_id, *logs]) == ExitCode.SUCCESS
     return capsys.readouterr().out.splitlines()
 
 
@@ -149,3 +152,32 @@
         if 'server_ended_under_request' in line
     ]
     assert len(ended) == 3
+
+
+async def test_explain_follows_a_request_over_two_entries(tmp_path, capsys):
+    """Guards against a request whose trace ends at the entry that was cut off.
+
+    The first entry has lost its links to all servers.
+    """
+    servers = [PlatformServerStandIn(f's{number}') for number in range(3)]
+    async with (
+        run_platform(*servers) as platform,
+        run_entries(
+            tmp_path, platform.store_address, IP, OTHER_IP, binds_source=True
+        ) as (entry, _),
+    ):
+        for server in servers:
+            server.listener.cut(IP, is_silent=False)
+        for number in range(20):
+            answer = await entry.request(f'cut{number}')
+            if answer.startswith(b'HTTP/1.1 200'):
+                break
+            await asyncio.sleep(0.1)
+    assert answer.startswith(b'HTTP/1.1 200')
+    lines = explain(tmp_path, capsys, f'cut{number}', IP, OTHER_IP)
+    sent = next(line for line in lines if 'request_forwarded' in line)
+    assert f'{IP} request_forwarded' in sent
+    assert f'entry={OTHER_IP}' in sent
+    assert f'{OTHER_IP} forwarded_request_ended' in lines[-1]
+    assert f'source={IP} outcome=answered sends=1' in lines[-1]
+    assert '"links_lost"' in (tmp_path / f'{IP}.log').read_text()
