--- a/tests/test_endless_bytes.py
+++ b/tests/test_endless_bytes.py
@@ -488,11 +488,13 @@
         services_by_name={'ledger': SimpleNamespace(connections=3)},
     )
     released = []
+    links = []
     async with running_server('chunks') as server, running_pool() as pool:
         board = SimpleNamespace(
             pool=pool,
             grant=grant,
             level_at=lambda _: AuthorityLevel.FULL,
+            record_link=lambda *link: links.append(link),
             metrics=SimpleNamespace(count=counts.append),
             probes=SimpleNamespace(
                 take_due=lambda _: ['s1'] if not counts else [],
@@ -516,6 +518,7 @@
         await server.wait_until_closed(0.2)
         assert counts == ['probe.sent', 'probe.failed']
         assert released == [grant.servers_by_id['s1']]
+        assert links == [('ledger', 's1', None)]
 
 
 @each_speed
