Draw the service of a split route from the id of the request

Each entry drew at random, so a repeated request with the same id could run at two services of a split.

--- a/copperyard/entry.py
+++ b/copperyard/entry.py
@@ -144,7 +144,6 @@
             dispatcher,
             self._peers,
             self._replica,
-            self._random,
         )
 
     def _start_controllers(self, group: TaskGroup) -> StorePoller:
--- a/copperyard/entry_api.py
+++ b/copperyard/entry_api.py
@@ -2,7 +2,6 @@
 
 import re
 from dataclasses import replace
-from random import Random
 from typing import Final
 
 from copperyard.caller_connections import ReceivedRequest
@@ -75,7 +74,6 @@
     :param dispatcher: sends requests to backend servers.
     :param peers: the other entries, for lookups.
     :param replica: state read from the store, for snapshots.
-    :param random: chooses the service of a route that has several.
     """
 
     def __init__(
@@ -84,13 +82,11 @@
         dispatcher: Dispatcher,
         peers: EntryPeers,
         replica: StoreReplica,
-        random: Random,
     ) -> None:
         self._board = board
         self._dispatcher = dispatcher
         self._peers = peers
         self._replica = replica
-        self._random = random
         self._forwarded_server = ForwardedRequestServer(board, dispatcher)
 
     def find_entry_limits(self) -> RequestLimits:
@@ -221,7 +217,7 @@
     ) -> CallerResponse:
         board = self._board
         request_id = headers_by_name[REQUEST_ID].decode('latin-1')
-        service = route.choose_service(self._random)
+        service = route.choose_service(request_id)
         state = RequestState(
             request=build_request(
                 received.method,
--- a/copperyard/routes.py
+++ b/copperyard/routes.py
@@ -3,7 +3,12 @@
 from collections import defaultdict
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
-from random import Random
+from hashlib import blake2b
+from itertools import accumulate
+from typing import Final
+
+# Bytes of the digest that draws the service of a request.
+DRAW_BYTES: Final = 8
 
 
 @dataclass(frozen=True, slots=True)
@@ -45,15 +50,27 @@
     priority: int
     parts: tuple[WeightedService, ...]
 
-    def choose_service(self, random: Random) -> str:
-        """Choose a service at random, in proportion to the weights.
+    def choose_service(self, request_id: str) -> str:
+        """Choose the service of a request, in proportion to the weights.
+
+        The id decides, so that all entries choose the same service for it.
 
-        :param random: source of randomness.
+        :param request_id: id of the request.
         """
         if len(self.parts) == 1:
             return self.parts[0].service
-        weights = [part.weight for part in self.parts]
-        return random.choices(self.parts, weights)[0].service
+        parts = [part for part in self.parts if part.weight > 0]
+        ends = list(accumulate(part.weight for part in parts))
+        position = _draw_share(request_id) * ends[-1]
+        # Rounding may place a position at the end of the last part.
+        index = sum(position >= end for end in ends[:-1])
+        return parts[index].service
+
+
+def _draw_share(request_id: str) -> float:
+    """Return a number from 0 to 1 that is uniform over request ids."""
+    digest = blake2b(request_id.encode(), digest_size=DRAW_BYTES).digest()
+    return int.from_bytes(digest) / (1 << 8 * DRAW_BYTES)
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/tests/test_entry_api.py
+++ b/tests/test_entry_api.py
@@ -2,7 +2,6 @@
 
 from contextlib import asynccontextmanager
 from functools import partial
-from random import Random
 
 import anyio
 import pytest
@@ -69,7 +68,7 @@
         group.start_soon(partial(listener.serve, server.serve))
         with BackendPool(board.clock) as pool:
             dispatcher = Dispatcher(board, pool, FixedPicker(board))
-            yield EntryApi(board, dispatcher, None, None, Random(1)), server
+            yield EntryApi(board, dispatcher, None, None), server
         group.cancel_scope.cancel()
 
 
@@ -186,6 +185,6 @@
     """
     board = build_board('s1', clock=seconds_since_boot)
     dispatcher = FaultyDispatcher(**progress)
-    response = await send(EntryApi(board, dispatcher, None, None, Random(1)))
+    response = await send(EntryApi(board, dispatcher, None, None))
     assert response.status == status
     assert board.metrics.counts_by_name['fault.contained'] == 1
--- a/tests/test_peer_forwarding.py
+++ b/tests/test_peer_forwarding.py
@@ -113,7 +113,7 @@
         self.board.entry_ips = frozenset((HELPER_IP, '127.0.0.9'))
         self.dispatcher = ScriptedDispatcher(run)
         self.connections = 0
-        self.api = EntryApi(self.board, self.dispatcher, None, None, Random(1))
+        self.api = EntryApi(self.board, self.dispatcher, None, None)
 
     async def open(self, stack):
         """Listen; the exit stack closes the listener."""
--- a/tests/test_platform_records.py
+++ b/tests/test_platform_records.py
@@ -2,7 +2,6 @@
 
 import json
 from base64 import b64encode
-from random import Random
 
 import anyio
 import hypothesis
@@ -304,7 +303,7 @@
     table = decode_configuration(content)
     if table is not None:
         for route in table.list_routes():
-            route.choose_service(Random(1))
+            route.choose_service('q1')
             ProcessingTime(route.target_latency_s).find_slowness_max(1.0)
         for service in table.services_by_name.values():
             service.health_path.encode('ascii')
--- a/tests/test_routes.py
+++ b/tests/test_routes.py
@@ -1,7 +1,5 @@
 """Selection of a route by host and longest path prefix."""
 
-from random import Random
-
 from copperyard.routes import WeightedService
 from tests.entry_builders import build_route, build_route_table
 
@@ -36,6 +34,5 @@
     """A route divides its requests among its services by weight."""
     parts = (WeightedService('x', 90), WeightedService('y', 10))
     route = build_route(parts=parts)
-    random = Random(7)
-    drawn = [route.choose_service(random) for _ in range(4000)]
+    drawn = [route.choose_service(f'q{number}') for number in range(4000)]
     assert abs(drawn.count('y') / len(drawn) - 0.1) < 0.02
--- a/tests/test_server_links.py
+++ b/tests/test_server_links.py
@@ -240,7 +240,7 @@
         heartbeat = build_heartbeat(ip, domain, is_cut_off=ip in cut_off_ips)
         peers.peers_by_ip[ip] = EntryPeer(board.clock(), heartbeat)
     board.list_servers('ledger', board.clock())
-    api = EntryApi(board, None, peers, None, Random(1))
+    api = EntryApi(board, None, peers, None)
     response = await api.serve_lookup(
         ReceivedRequest(
             'GET',
