--- a/copperyard/entry.py
+++ b/copperyard/entry.py
@@ -153,11 +153,13 @@
             self._peers,
             self._store,
             self._pool,
+            self._random,
         )
         controllers_by_name = {
             'datagrams': self._peers.receive,
             'heartbeats': self._peers.run_heartbeats,
             'load_updates': self._peers.run_load_updates,
+            'entry_news': self._peers.run_news,
             'urgent_heartbeats': self._peers.run_urgent_heartbeats,
             'operator_records': poller.poll_operator_records,
             'servers': poller.poll_servers,
--- a/copperyard/entry_api.py
+++ b/copperyard/entry_api.py
@@ -33,7 +33,10 @@
 from copperyard.request_states import DispatchOutcome, RequestState
 from copperyard.requests import FORWARDED_HEADER, HOP_BY_HOP_HEADERS
 from copperyard.routes import RequestLimits, Route
-from copperyard.store_poller import SNAPSHOT_PATH
+from copperyard.store_poller import (
+    OPERATOR_SNAPSHOT_PATH,
+    SNAPSHOT_PATH,
+)
 from copperyard.store_replica import StoreReplica
 
 # Longest time for which callers may cache a lookup. A shorter time causes more
@@ -175,12 +178,14 @@
         """
         if any(name == FORWARDED_HEADER for name, _ in received.headers):
             return await self._forwarded_server.serve(received)
-        if received.target.decode('latin-1') != SNAPSHOT_PATH:
-            return CallerResponse(_NOT_FOUND)
-        now = self._board.clock()
-        return CallerResponse(
-            200, (), encode_message(self._replica.build_snapshot(now))
-        )
+        match received.target.decode('latin-1'):
+            case path if path == SNAPSHOT_PATH:
+                snapshot = self._replica.build_snapshot(self._board.clock())
+            case path if path == OPERATOR_SNAPSHOT_PATH:
+                snapshot = self._replica.build_operator_snapshot()
+            case _:
+                return CallerResponse(_NOT_FOUND)
+        return CallerResponse(200, (), encode_message(snapshot))
 
     async def serve_metrics(self, received: ReceivedRequest) -> CallerResponse:
         """Return counters, gauges and latency histograms as text.
--- a/copperyard/entry_board.py
+++ b/copperyard/entry_board.py
@@ -343,33 +343,38 @@
 
     def merge_rate_limit(
         self, server_id: str, limit: NamedLimit, source_ip: str
-    ) -> None:
+    ) -> bool:
         """Apply what another entry knows of a server's limit.
 
         :param server_id: id of the server.
         :param limit: the limit.
         :param source_ip: IP address of the other entry.
+        :returns: whether the limit has changed here.
         """
-        if self.rate_limits.merge(server_id, limit):
+        has_changed = self.rate_limits.merge(server_id, limit)
+        if has_changed:
             self._log_rate_limit(server_id, limit.requests_per_s, source_ip)
+        return has_changed
 
     def record_leaving(
         self, server_id: str, started_ms: int, source_ip: str
-    ) -> None:
+    ) -> bool:
         """Record that a server is leaving; it gets no new requests.
 
         :param server_id: id of the server.
         :param started_ms: start time of its incarnation.
         :param source_ip: IP address of the entry that knows it.
+        :returns: whether it was not known here.
         """
         now = self.clock()
         if not self.leaving_servers.record(server_id, started_ms, now):
-            return
+            return False
         self._indexed_version = -1
         if source_ip == self.settings.ip:
             self.has_urgent_news.set()
         self.metrics.count('server.leaving')
         log_event('server_leaving', server=server_id, source=source_ip)
+        return True
 
     def is_paused(self, server: KnownServer, now: float) -> bool:
         """Return whether a server wants nothing from this entry now.
--- a/copperyard/entry_messages.py
+++ b/copperyard/entry_messages.py
@@ -1,5 +1,6 @@
 """Datagrams and snapshots exchanged between entries."""
 
+from enum import IntEnum
 from typing import Annotated, Final, TypeAlias
 
 import msgspec
@@ -29,6 +30,7 @@
 LISTED_SUSPECTS_MAX: Final = 64
 LISTED_SERVICES_MAX: Final = 64
 LISTED_LEAVING_MAX: Final = 64
+LISTED_STATES_MAX: Final = 64
 ACTIVE_REQUESTS_MAX: Final = 1_000_000
 SLOWNESS_MAX: Final = 1_000_000
 RATE_MAX_PER_S: Final = 1_000_000
@@ -43,6 +45,17 @@
 _AgeIfRead: TypeAlias = Annotated[float, msgspec.Meta(ge=0)]
 
 
+class EntryStatus(IntEnum):
+    """What is said of an entry; the order decides between equal versions.
+
+    ``DOWN``: other entries hear nothing from it. An entry that runs refutes it.
+    """
+
+    ALIVE = 0
+    LEAVING = 1
+    DOWN = 2
+
+
 class LimitReport(msgspec.Struct, frozen=True, array_like=True):
     """Limit that a backend server has named, or its end.
 
@@ -124,6 +137,12 @@
         links to, drawn at random if there are many.
     :param is_cut_off: whether these are most of the services.
     :param leaving: servers that are leaving, those learned of last.
+    :param incarnation: number of this start of the sender.
+    :param version: number of the state within the incarnation.
+    :param status: whether the sender is alive, leaving or said to be down.
+    :param view_digest: digest of the states of all entries that the sender
+        knows; 0 if it is not told.
+    :param servers_end: offset up to which the sender has the servers.
     """
 
     ip: str
@@ -147,6 +166,48 @@
     leaving: Annotated[
         tuple[LeavingReport, ...], msgspec.Meta(max_length=LISTED_LEAVING_MAX)
     ] = ()
+    incarnation: Number = 0
+    version: Number = 0
+    status: EntryStatus = EntryStatus.ALIVE
+    view_digest: Number = 0
+    servers_end: _End = -1
+
+
+class EntryNews(msgspec.Struct, frozen=True, array_like=True, tag='entries'):
+    """States of entries, passed on by another one.
+
+    :param ip: IP address of the sender.
+    :param states: heartbeats without lists.
+    """
+
+    ip: str
+    states: Annotated[
+        tuple[Heartbeat, ...], msgspec.Meta(max_length=LISTED_STATES_MAX)
+    ]
+
+
+class Inquiry(msgspec.Struct, frozen=True, array_like=True, tag='ask'):
+    """Question whether an entry has been heard of lately.
+
+    :param ip: IP address of the sender.
+    :param silent_ip: IP address of the entry that the sender does not hear.
+    """
+
+    ip: str
+    silent_ip: str
+
+
+class HeardReport(msgspec.Struct, frozen=True, array_like=True, tag='heard'):
+    """Answer to an inquiry about an entry that has been heard of lately.
+
+    :param ip: IP address of the sender.
+    :param heard_ip: IP address of the entry.
+    :param age_s: seconds since it was heard.
+    """
+
+    ip: str
+    heard_ip: str
+    age_s: _Age
 
 
 class ServerUpdate(msgspec.Struct, frozen=True, array_like=True, tag='servers'):
@@ -157,12 +218,20 @@
     :param age_s: seconds since the last read began.
     :param changes: changes between the two offsets, except for reports that
         repeat the previous one.
+    :param is_relayed: whether those that receive it pass it on.
+    :param operator_end: offset up to which the sender has the operator's
+        records.
+    :param operator_age_s: seconds since that was last known to be the end of
+        the log.
     """
 
     start: _End
     end: _End
     age_s: _Age
     changes: tuple[ServerChange, ...]
+    is_relayed: bool = False
+    operator_end: _End = -1
+    operator_age_s: _AgeIfRead = 0.0
 
 
 class LoadReport(msgspec.Struct, frozen=True, array_like=True):
@@ -234,7 +303,15 @@
     ip: str
 
 
-Datagram: TypeAlias = Heartbeat | ServerUpdate | LoadUpdate | Goodbye
+Datagram: TypeAlias = (
+    Heartbeat
+    | EntryNews
+    | Inquiry
+    | HeardReport
+    | ServerUpdate
+    | LoadUpdate
+    | Goodbye
+)
 
 
 class Snapshot(msgspec.Struct, frozen=True, array_like=True):
@@ -295,6 +372,12 @@
 
 def _is_consistent(message: Datagram) -> bool:
     match message:
+        case EntryNews(ip=ip, states=states):
+            return is_ipv4(ip) and all(is_ipv4(state.ip) for state in states)
+        case Inquiry(ip=ip, silent_ip=other):
+            return is_ipv4(ip) and is_ipv4(other)
+        case HeardReport(ip=ip, heard_ip=other):
+            return is_ipv4(ip) and is_ipv4(other)
         case Heartbeat(ip=ip) | Goodbye(ip=ip):
             return is_ipv4(ip)
         case ServerUpdate(changes=changes, end=end):
--- a/copperyard/entry_peers.py
+++ b/copperyard/entry_peers.py
@@ -1,4 +1,4 @@
-"""Membership and load gossip between entries over UDP."""
+"""Datagrams between entries: who is alive, facts, server changes and loads."""
 
 import socket
 from collections.abc import Iterable, Mapping
@@ -8,58 +8,42 @@
 from typing import Final
 
 import anyio
+import msgspec
 
-from copperyard.crash_suspects import Crash
+from copperyard.clock import MILLISECONDS_PER_S
 from copperyard.entry_board import EntryBoard
+from copperyard.entry_gossip import NEWS_DELAY_S, EntryGossip
 from copperyard.entry_messages import (
-    DATAGRAM_MAX_BYTES,
-    CrashReport,
     Datagram,
+    EntryNews,
+    EntryStatus,
     Goodbye,
+    HeardReport,
     Heartbeat,
-    LeavingReport,
-    LimitReport,
+    Inquiry,
     LoadReport,
     LoadUpdate,
     OutcomeCounts,
     ServerUpdate,
-    SuspectReport,
     decode_datagram,
     encode_message,
     is_in_range,
 )
+from copperyard.entry_view import EntryPeer, EntryView
 from copperyard.fault_barriers import FaultBarrier
 from copperyard.logs import log_event
-from copperyard.rate_limits import NamedLimit
 from copperyard.server_loads import LoadSample
+from copperyard.server_update_parts import split_update
 from copperyard.settings import is_ipv4
+from copperyard.shared_facts import SharedFacts
 from copperyard.store_replica import StoreReplica
 
-# Short compared with the seconds for which callers cache a lookup.
-HEARTBEAT_INTERVAL_S: Final = 0.5
-# Heartbeats that an entry sends per second at most; with more than 40 other
-# entries, the interval grows.
-HEARTBEATS_PER_S_MAX: Final = 80
-# An entry is suspected to have stopped after this time without a heartbeat: a
-# little over three heartbeat intervals, so that a heartbeat may be lost.
-SUSPECT_AFTER_S: Final = 1.7
-# The same time in heartbeat intervals, for when they are longer.
-SUSPECT_INTERVALS: Final = 3.4
-# An entry is forgotten after this time without a heartbeat. Until then, it may
-# be chosen as one of those that may send to a cold server.
-FORGET_AFTER_S: Final = 30.0
+# Interval between checks for silent entries and due heartbeats.
+TICK_INTERVAL_S: Final = 0.1
 # Entries listed in a heartbeat, drawn at random each time; bounds its size.
-KNOWN_IPS_MAX: Final = 16
-# Limits of backend servers listed in a heartbeat, drawn at random each time if
-# there are more; bounds its size.
-LISTED_LIMITS: Final = 20
-# Requests under which servers have ended that are listed in a heartbeat; bounds
-# its size.
-LISTED_SUSPECTS: Final = 12
+KNOWN_IPS_MAX: Final = 6
 # Services listed in a heartbeat as unreachable; bounds its size.
 LISTED_SERVICES: Final = 16
-# Leaving servers listed in a heartbeat; bounds its size.
-LISTED_LEAVING: Final = 20
 # Shortest interval between heartbeats that are sent because of urgent news.
 URGENT_INTERVAL_S: Final = 0.1
 # Heartbeats from one with limits and crashes to the next; others are short,
@@ -67,8 +51,6 @@
 HEARTBEATS_PER_FULL_ONE: Final = 4
 # Full heartbeats after urgent news, in case one of them is lost.
 FULL_HEARTBEATS_AFTER_NEWS: Final = 3
-# Heartbeats sent to an entry that has never been heard from.
-CONTACT_TRIES_MAX: Final = 20
 # Load reports are batched for this time before they are sent.
 LOAD_UPDATE_INTERVAL_S: Final = 0.003
 # Entries that get each load update. In larger failure domains they are drawn at
@@ -78,21 +60,6 @@
 _RECEIVE_BYTES: Final = 64 * 1024
 
 
-@dataclass(slots=True)
-class EntryPeer:
-    """Another entry.
-
-    :param heard_at: when its newest heartbeat arrived, ``CLOCK_BOOTTIME`` in
-        seconds.
-    :param heartbeat: its newest heartbeat.
-    :param is_leaving: whether it has sent a goodbye since that heartbeat.
-    """
-
-    heard_at: float
-    heartbeat: Heartbeat
-    is_leaving: bool = False
-
-
 @dataclass(frozen=True, slots=True)
 class ReadyEntry:
     """An entry that accepts requests of callers.
@@ -114,8 +81,7 @@
 
     :param board: its entries and server loads are updated.
     :param replica: applies changes of servers that other entries have read.
-    :param random: draws the entries that are listed in a heartbeat and those
-        that get a load update.
+    :param random: draws what is listed in a heartbeat, and who gets messages.
     """
 
     def __init__(
@@ -124,20 +90,45 @@
         replica: StoreReplica,
         random: Random,
     ) -> None:
-        self.peers_by_ip: dict[str, EntryPeer] = {}
+        settings = board.settings
+        self.facts = SharedFacts(board, random)
+        self.view = EntryView(
+            settings.ip,
+            settings.failure_domain,
+            round(board.clock() * MILLISECONDS_PER_S),
+            random,
+        )
+        # Highest end of the operator's records that another entry has told,
+        # that entry, and when it told this.
+        self.newest_operator_end = -1
+        self.newest_operator_ip = ''
+        self.newest_operator_heard_at = float('-inf')
+        # Entry that has told a higher end of the servers' log than is known.
+        self.newer_servers_ip = ''
+        self._gossip = EntryGossip(
+            self.view,
+            settings.failure_domain,
+            self._describe,
+            self._send_message,
+            random,
+        )
         self._board = board
         self._replica = replica
         self._random = random
-        # Heartbeats sent to entries that have not been heard from yet, by IP.
-        self._tries_by_ip: dict[str, int] = {}
         self._contacted_seed_ips: tuple[str, ...] = ()
         self._heartbeat_count = 0
         self._full_heartbeats_left = 0
+        self._has_news = anyio.Event()
         self._socket = socket.socket(
             socket.AF_INET,
             socket.SOCK_DGRAM | socket.SOCK_NONBLOCK | socket.SOCK_CLOEXEC,
         )
 
+    @property
+    def peers_by_ip(self) -> dict[str, EntryPeer]:
+        """Return all known entries, also those that are down."""
+        return self.view.peers_by_ip
+
     def open(self, stack: AsyncExitStack) -> None:
         """Bind the socket.
 
@@ -148,18 +139,11 @@
         self._socket.bind((settings.ip, settings.entry_port))
 
     def list_alive(self, now: float) -> list[EntryPeer]:
-        """Return the entries that are neither suspected nor leaving.
+        """Return the entries that are neither down nor leaving.
 
         :param now: ``CLOCK_BOOTTIME`` in seconds.
         """
-        suspect_after_s = max(
-            SUSPECT_AFTER_S, SUSPECT_INTERVALS * self._compute_interval_s()
-        )
-        return [
-            peer
-            for peer in self.peers_by_ip.values()
-            if now - peer.heard_at < suspect_after_s and not peer.is_leaving
-        ]
+        return self.view.list_alive(now)
 
     def list_ready(self, now: float) -> list[ReadyEntry]:
         """Return the entries that accept requests, also this one.
@@ -189,40 +173,23 @@
 
         :param ips: IP addresses at which entries may run.
         """
-        known_ips = {
-            self._board.settings.ip,
-            *self.peers_by_ip,
-            *self._tries_by_ip,
-        }
-        new_ips = [ip for ip in ips if ip not in known_ips]
-        for ip in new_ips:
-            if not is_ipv4(ip):
+        valid_ips = []
+        for ip in ips:
+            if is_ipv4(ip):
+                valid_ips.append(ip)
+            else:
                 self._board.metrics.count('entry_ip.invalid')
                 log_event('entry_ip_invalid', entry=ip)
-        new_ips = list(filter(is_ipv4, new_ips))
-        if not new_ips:
-            return
-        content = encode_message(self.describe_self(self._board.clock()))
-        for ip in new_ips:
-            self._tries_by_ip[ip] = 0
-            self._send(ip, content)
+        self._gossip.contact(valid_ips)
 
     async def run_heartbeats(self) -> None:
-        """Send heartbeats periodically until cancelled."""
+        """Send heartbeats and check for silent entries until cancelled."""
         while True:
-            self._remove_silent(self._board.clock())
-            self._board.forget_old_facts()
-            self.send_heartbeats()
-            self._contact_seeds()
-            self._tries_by_ip = {
-                ip: tries + 1
-                for ip, tries in self._tries_by_ip.items()
-                if tries < CONTACT_TRIES_MAX
-            }
-            await anyio.sleep(self._compute_interval_s())
+            self._run_once(self._board.clock())
+            await anyio.sleep(TICK_INTERVAL_S)
 
     def send_heartbeats(self) -> None:
-        """Send a heartbeat to all entries."""
+        """Send a heartbeat to the entries that watch this one."""
         self._heartbeat_count += 1
         is_full = (
             self._full_heartbeats_left > 0
@@ -230,31 +197,35 @@
         )
         self._full_heartbeats_left = max(0, self._full_heartbeats_left - 1)
         heartbeat = self.describe_self(self._board.clock(), is_full=is_full)
-        content = encode_message(heartbeat)
-        for ip in (*self.peers_by_ip, *self._tries_by_ip):
-            self._send(ip, content)
+        if self.peers_by_ip:
+            heartbeat = msgspec.structs.replace(heartbeat, known_ips=())
+        self._gossip.send_heartbeats(heartbeat)
 
     def describe_self(self, now: float, *, is_full: bool = True) -> Heartbeat:
         """Return what this entry tells the others about itself.
 
         :param now: ``CLOCK_BOOTTIME`` in seconds.
-        :param is_full: whether it lists limits, crashes and leaving servers.
+        :param is_full: whether it lists entries, limits, crashes and leaving
+            servers.
         """
-        ips = list(self.peers_by_ip)
-        known_ips = self._random.sample(ips, min(KNOWN_IPS_MAX, len(ips)))
-        settings = self._board.settings
+        facts = self.facts
+        board, view = self._board, self.view
         return Heartbeat(
-            ip=settings.ip,
-            failure_domain=settings.failure_domain,
-            is_ready=self._board.is_ready,
+            ip=board.settings.ip,
+            failure_domain=board.settings.failure_domain,
+            is_ready=board.is_ready,
             operator_end=self._replica.operator_end,
             operator_age_s=now - self._replica.operator_read_at,
-            known_ips=tuple(known_ips),
-            limits=self._list_limits(now) if is_full else (),
-            suspects=self._list_suspects(now) if is_full else (),
+            known_ips=self._draw_known_ips() if is_full else (),
+            limits=facts.list_limits(now) if is_full else (),
+            suspects=facts.list_suspects(now) if is_full else (),
             unreachable_services=self._list_unreachable(),
-            is_cut_off=self._board.is_cut_off,
-            leaving=self._list_leaving() if is_full else (),
+            is_cut_off=board.is_cut_off,
+            leaving=facts.list_leaving() if is_full else (),
+            incarnation=view.incarnation,
+            version=view.version,
+            status=view.status,
+            servers_end=self._replica.servers_end,
         )
 
     async def receive(self) -> None:
@@ -276,17 +247,14 @@
     def send_server_update(self, update: ServerUpdate) -> None:
         """Send changes of backend servers to all entries.
 
-        :param update: the changes. If they do not fit into a datagram, an
-            update without changes is sent instead; the other entries then
-            find a gap and read the store themselves.
+        :param update: the changes; sent in parts that fit into a datagram.
         """
         self._board.metrics.count('news.sent')
-        content = encode_message(update)
-        if len(content) > DATAGRAM_MAX_BYTES:
-            empty = ServerUpdate(update.end, update.end, update.age_s, ())
-            content = encode_message(empty)
-        for peer in self.list_alive(self._board.clock()):
-            self._send(peer.heartbeat.ip, content)
+        ips, is_relayed = self._gossip.spread(self._board.clock())
+        for part in split_update(update, is_relayed=is_relayed):
+            content = encode_message(part)
+            for ip in ips:
+                self._send(ip, content)
 
     async def run_load_updates(self) -> None:
         """Send batched load updates until cancelled."""
@@ -302,14 +270,69 @@
             await self._board.has_urgent_news.wait()
             self._board.has_urgent_news = anyio.Event()
             self._full_heartbeats_left = FULL_HEARTBEATS_AFTER_NEWS
+            self._gossip.announce(self._board.clock())
+            self._signal_news()
             self.send_heartbeats()
             await anyio.sleep(URGENT_INTERVAL_S)
 
+    async def run_news(self) -> None:
+        """Send collected states of entries until cancelled."""
+        while True:
+            await self._has_news.wait()
+            await anyio.sleep(NEWS_DELAY_S)
+            self._has_news = anyio.Event()
+            self._gossip.flush()
+
+    def forget_newest_operator_end(self) -> None:
+        """Drop an end of the operator's records that could not be copied."""
+        self.newest_operator_end = self._replica.operator_end
+
     def send_goodbye(self) -> None:
         """Tell all entries to stop directing callers to this one."""
-        content = encode_message(Goodbye(self._board.settings.ip))
-        for ip in self.peers_by_ip:
-            self._send(ip, content)
+        now = self._board.clock()
+        self.view.status = EntryStatus.LEAVING
+        self._gossip.announce(now)
+        self._gossip.flush()
+        self.send_heartbeats()
+
+    def _run_once(self, now: float) -> None:
+        for ip in self.view.forget_gone(now):
+            log_event('entry_forgotten', entry=ip)
+        self._update_entry_ips()
+        alive_before = self._count_alive()
+        is_due = self._gossip.tick(now)
+        if self._count_alive() < alive_before:
+            self._log_down(now)
+        if is_due:
+            self._board.forget_old_facts()
+            self.send_heartbeats()
+            self._contact_seeds()
+            self._gossip.count_tries()
+        self._signal_news()
+
+    def _count_alive(self) -> int:
+        return sum(peer.is_alive for peer in self.peers_by_ip.values())
+
+    def _log_down(self, now: float) -> None:
+        for ip, peer in self.peers_by_ip.items():
+            if not peer.is_alive and peer.changed_at == now:
+                self._board.metrics.count('entry.down')
+                log_event(
+                    'entry_down',
+                    entry=ip,
+                    silent_ms=round((now - peer.heard_at) * MILLISECONDS_PER_S),
+                )
+
+    def _describe(self, is_full: bool) -> Heartbeat:  # noqa: FBT001
+        return self.describe_self(self._board.clock(), is_full=is_full)
+
+    def _draw_known_ips(self) -> tuple[str, ...]:
+        ips = [ip for ip, peer in self.peers_by_ip.items() if peer.is_alive]
+        return tuple(self._random.sample(ips, min(KNOWN_IPS_MAX, len(ips))))
+
+    def _signal_news(self) -> None:
+        if self._gossip.has_news:
+            self._has_news.set()
 
     def _send_load_update(self) -> None:
         now = self._board.clock()
@@ -351,62 +374,58 @@
             case Heartbeat():
                 self._handle_heartbeat(message, now)
             case ServerUpdate():
-                self._board.metrics.count('news.received')
-                self._replica.apply_server_update(message, now)
+                self._handle_server_update(message, now)
             case LoadUpdate():
                 self._board.metrics.count('loads.received')
                 self._apply_load_update(message, now)
+            case _:
+                self._handle_entry_message(message, now)
+        self._signal_news()
+
+    def _handle_entry_message(self, message: Datagram, now: float) -> None:
+        match message:
+            case EntryNews():
+                for ip in self._gossip.handle_news(message, now):
+                    log_event('entry_heard', entry=ip, source=message.ip)
+                self._update_entry_ips()
+            case Inquiry():
+                self._gossip.handle_inquiry(message, now)
+            case HeardReport():
+                self._gossip.handle_heard(message, now)
             case Goodbye(ip=ip):
-                peer = self.peers_by_ip.get(ip)
-                if peer is not None:
-                    peer.is_leaving = True
+                self._gossip.handle_goodbye(ip, now)
+
+    def _handle_server_update(self, update: ServerUpdate, now: float) -> None:
+        self._board.metrics.count('news.received')
+        is_new = self._replica.apply_server_update(update, now)
+        if is_new and update.is_relayed:
+            content = encode_message(update)
+            self._board.metrics.count('news.relayed')
+            for ip in self._gossip.list_relays():
+                self._send(ip, content)
 
     def _handle_heartbeat(self, heartbeat: Heartbeat, now: float) -> None:
         if heartbeat.ip == self._board.settings.ip:
             return
-        previous = self.peers_by_ip.get(heartbeat.ip)
-        if previous is None:
+        if self._gossip.handle_heartbeat(heartbeat, now):
             log_event('entry_heard', entry=heartbeat.ip)
-            self._tries_by_ip.pop(heartbeat.ip, None)
-        self.peers_by_ip[heartbeat.ip] = EntryPeer(now, heartbeat)
-        self._update_entry_ips()
+            self._update_entry_ips()
         self.contact(heartbeat.known_ips)
-        self._apply_limits(heartbeat, now)
-        self._apply_suspects(heartbeat, now)
-        for leaving in heartbeat.leaving:
-            self._board.record_leaving(
-                leaving.server_id, leaving.started_ms, heartbeat.ip
-            )
-        if heartbeat.operator_end == self._replica.operator_end:
-            read_at = now - heartbeat.operator_age_s
-            if read_at > self._replica.operator_read_at:
-                self._replica.operator_read_at = read_at
-        if previous is None:
-            self._send(
-                heartbeat.ip,
-                encode_message(self.describe_self(now)),
-            )
+        if heartbeat.operator_end > self.newest_operator_end:
+            self.newest_operator_end = heartbeat.operator_end
+            self.newest_operator_ip = heartbeat.ip
+            self.newest_operator_heard_at = now
+        if heartbeat.servers_end > self._replica.servers_end:
+            self.newer_servers_ip = heartbeat.ip
+        self._replica.record_operator_read(
+            heartbeat.operator_end, now - heartbeat.operator_age_s
+        )
+        if self.facts.apply(heartbeat, now) and self._has_unwatching_peers():
+            # The sender tells its own watchers only.
+            self._board.has_urgent_news.set()
 
-    def _apply_limits(self, heartbeat: Heartbeat, now: float) -> None:
-        for report in heartbeat.limits:
-            limit = NamedLimit(
-                report.requests_per_s, report.started_ms, now - report.age_s
-            )
-            self._board.merge_rate_limit(report.server_id, limit, heartbeat.ip)
-
-    def _apply_suspects(self, heartbeat: Heartbeat, now: float) -> None:
-        suspects = self._board.crash_suspects
-        for report in heartbeat.suspects:
-            if report.answered_age_s is not None:
-                suspects.record_answer(
-                    report.fingerprint, now - report.answered_age_s
-                )
-            for crash in report.crashes:
-                suspects.record_crash(
-                    report.fingerprint,
-                    crash.server_key,
-                    Crash(now - crash.sent_age_s, now - crash.ended_age_s),
-                )
+    def _has_unwatching_peers(self) -> bool:
+        return len(self.view.list_watchers()) < self._count_alive()
 
     def _apply_load_update(self, update: LoadUpdate, now: float) -> None:
         for report in filter(self._check_report, update.reports):
@@ -434,64 +453,11 @@
         log_event('load_report_damaged', server=report.server_id)
         return False
 
-    def _list_leaving(self) -> tuple[LeavingReport, ...]:
-        newest = self._board.leaving_servers.list_newest(LISTED_LEAVING)
-        return tuple(
-            LeavingReport(leaving.server_id, leaving.started_ms)
-            for leaving in newest
-        )
-
     def _list_unreachable(self) -> tuple[str, ...]:
         services = tuple(self._board.server_links.lost_services)
         count = min(LISTED_SERVICES, len(services))
         return tuple(self._random.sample(services, count))
 
-    def _list_limits(self, now: float) -> tuple[LimitReport, ...]:
-        reports = [
-            LimitReport(
-                server_id,
-                limit.started_ms,
-                limit.requests_per_s,
-                max(0.0, now - limit.named_at),
-            )
-            for server_id, limit in self._board.rate_limits.list_recent(now)
-        ]
-        count = min(LISTED_LIMITS, len(reports))
-        return tuple(self._random.sample(reports, count))
-
-    def _list_suspects(self, now: float) -> tuple[SuspectReport, ...]:
-        return tuple(
-            SuspectReport(
-                fingerprint,
-                suspect.find_recent_answer_age(now),
-                tuple(
-                    CrashReport(
-                        server_key,
-                        max(0.0, now - crash.sent_at),
-                        max(0.0, now - crash.ended_at),
-                    )
-                    for server_key, crash in suspect.crashes_by_key.items()
-                ),
-            )
-            for fingerprint, suspect in (
-                self._board.crash_suspects.list_most_suspected(
-                    LISTED_SUSPECTS, now
-                )
-            )
-        )
-
-    def _compute_interval_s(self) -> float:
-        return max(
-            HEARTBEAT_INTERVAL_S, len(self.peers_by_ip) / HEARTBEATS_PER_S_MAX
-        )
-
-    def _remove_silent(self, now: float) -> None:
-        for ip, peer in tuple(self.peers_by_ip.items()):
-            if now - peer.heard_at > FORGET_AFTER_S:
-                self.peers_by_ip.pop(ip)
-                log_event('entry_forgotten', entry=ip)
-        self._update_entry_ips()
-
     def _contact_seeds(self) -> None:
         # At the start, and when reloaded settings name other seeds.
         seed_ips = self._board.settings.seed_ips
@@ -500,11 +466,15 @@
             self.contact(seed_ips)
 
     def _update_entry_ips(self) -> None:
-        self._board.entry_ips = frozenset(
-            (self._board.settings.ip, *self.peers_by_ip),
-        )
+        ips = frozenset((self._board.settings.ip, *self.peers_by_ip))
+        if ips != self._board.entry_ips:
+            self._board.entry_ips = ips
+
+    def _send_message(self, ip: str, message: Datagram) -> None:
+        self._send(ip, encode_message(message))
 
     def _send(self, ip: str, content: bytes) -> None:
+        self._board.metrics.count('datagram.sent')
         try:
             self._socket.sendto(content, (ip, self._board.settings.entry_port))
         except OSError as error:
--- a/copperyard/peer_forwarding.py
+++ b/copperyard/peer_forwarding.py
@@ -13,7 +13,7 @@
     ServerAddress,
 )
 from copperyard.entry_board import EntryBoard
-from copperyard.entry_peers import EntryPeer
+from copperyard.entry_view import EntryPeer
 from copperyard.exchanges import BackendPool, StreamedResponse
 from copperyard.forwarded_requests import (
     FORWARD_DIALECT,
--- /dev/null
+++ b/copperyard/read_turns.py
@@ -0,0 +1,46 @@
+"""Whose turn it is to read the metadata store for all entries."""
+
+from typing import Final
+
+READERS_NAME: Final = 'store-readers'
+# Age of the last read at which the first entry in the ranking reads again. Each
+# entry behind it waits ``RANK_DELAY_S`` longer, so that it reads only if all
+# entries before it have stopped or cannot reach the store. Entries behind
+# ``RANK_MAX`` follow in shorter steps, in which they hear of earlier reads.
+SERVERS_MAX_AGE_S: Final = 0.45
+OPERATOR_MAX_AGE_S: Final = 0.6
+RANK_DELAY_S: Final = 0.12
+RANK_MAX: Final = 6
+FURTHER_RANK_DELAY_S: Final = 0.02
+# How long an entry that has just started waits to hear from others before it
+# reads what they may have; the entries that are named as seeds do not wait.
+START_WAIT_S: Final = 0.8
+# How long it waits to hear from its seeds before it looks for others in the
+# store and registers there.
+SEARCH_WAIT_S: Final = 0.6
+# Without seeds, entries that start together look one after another within this
+# time, so that most of them find others that have registered.
+SEARCH_SPREAD_S: Final = 0.3
+# Time for the answers of entries that were found in the store.
+SEARCH_ANSWER_S: Final = 0.05
+# How much longer the first read is left to the entries before.
+FIRST_READ_DELAY_FACTOR: Final = 3.0
+
+
+def find_read_delay_s(rank: int) -> float:
+    """Return how long an entry leaves an overdue read to those before it.
+
+    :param rank: its place in the ranking of the entries, from 0.
+    """
+    first = min(rank, RANK_MAX)
+    return RANK_DELAY_S * first + FURTHER_RANK_DELAY_S * (rank - first)
+
+
+def find_operator_read_delay_s(rank: int) -> float:
+    """Return how long an entry leaves a read of the operator's records.
+
+    The other entries hear of such a read only with the next read of servers.
+
+    :param rank: its place in the ranking of the entries, from 0.
+    """
+    return find_read_delay_s(rank) + (SERVERS_MAX_AGE_S if rank else 0.0)
--- a/copperyard/settings_reloader.py
+++ b/copperyard/settings_reloader.py
@@ -15,6 +15,9 @@
 
 # Interval between checks of the file; each check is one small read.
 POLL_INTERVAL_S: Final = 1.0
+# The same while the settings name no seeds: those of a system that starts may
+# be added a moment later.
+SEEDLESS_POLL_INTERVAL_S: Final = 0.2
 
 SettingsLoader: TypeAlias = Callable[
     [Path], Result[EntrySettings, SettingsError]
@@ -45,7 +48,10 @@
     async def run(self) -> None:
         """Check the file periodically until cancelled."""
         while True:
-            await anyio.sleep(POLL_INTERVAL_S)
+            has_seeds = bool(self._board.settings.seed_ips)
+            await anyio.sleep(
+                POLL_INTERVAL_S if has_seeds else SEEDLESS_POLL_INTERVAL_S
+            )
             self.check_file()
 
     def check_file(self) -> None:
--- a/copperyard/store_poller.py
+++ b/copperyard/store_poller.py
@@ -1,6 +1,9 @@
 """Polls the metadata store and sends what it reads to the other entries."""
 
+import math
+from collections.abc import Callable
 from dataclasses import dataclass
+from random import Random
 from typing import Final
 
 import anyio
@@ -19,18 +22,28 @@
     StoreUnavailable,
 )
 from copperyard.outcomes import Answered
+from copperyard.read_turns import (
+    FIRST_READ_DELAY_FACTOR,
+    OPERATOR_MAX_AGE_S,
+    READERS_NAME,
+    SEARCH_ANSWER_S,
+    SEARCH_SPREAD_S,
+    SEARCH_WAIT_S,
+    SERVERS_MAX_AGE_S,
+    START_WAIT_S,
+    find_operator_read_delay_s,
+    find_read_delay_s,
+)
 from copperyard.rendezvous import rank_members
 from copperyard.store_replica import NEVER_READ, StoreReplica
 
 SNAPSHOT_PATH: Final = '/snapshot'
-# Age of the last read at which the first entry in the ranking reads again. Each
-# entry behind it waits ``RANK_DELAY_S`` longer, so that it reads only if all
-# entries before it have stopped or cannot reach the store. Entries behind
-# ``RANK_MAX`` wait as long as that one.
-SERVERS_MAX_AGE_S: Final = 0.45
-OPERATOR_MAX_AGE_S: Final = 0.6
-RANK_DELAY_S: Final = 0.12
-RANK_MAX: Final = 6
+OPERATOR_SNAPSHOT_PATH: Final = '/snapshot/operator'
+# Entries that are registered in the store, so that new ones find the others
+# when their seeds have stopped.
+REGISTERED_ENTRIES: Final = 4
+# Interval at which the first of them looks for entries that nobody knows.
+SEARCH_INTERVAL_S: Final = 15.0
 # Delay after a failed read; each further failure doubles it.
 RETRY_DELAY_S: Final = 0.3
 # Longest delay after failed reads, and so the longest time until a recovered
@@ -47,7 +60,10 @@
 # entries in the store, and at which a failed registration is repeated.
 DISCOVERY_INTERVAL_S: Final = 3.0
 
-_RANKING_NAME: Final = 'store-readers'
+# Interval between tries to copy what this entry lacks from another one.
+COPY_INTERVAL_S: Final = 0.2
+
+_REGISTERED_NAME: Final = 'registered-entries'
 _OK: Final = 200
 
 
@@ -70,14 +86,15 @@
     """Reads the metadata store often enough to keep the replica up to date.
 
     The entries share the work: they are ranked, and an entry reads only if
-    those before it have not done so in time. While the store is unavailable,
-    an entry that lacks records asks another entry for a snapshot.
+    those before it have not done so in time. An entry that lacks records copies
+    them from another entry, and reads the store only if none has them.
 
     :param board: settings and metrics.
     :param replica: applies what is read.
     :param peers: the other entries.
     :param store: the metadata store.
     :param pool: connections to other entries.
+    :param random: spreads the first calls of entries that start together.
     """
 
     def __init__(
@@ -87,6 +104,7 @@
         peers: EntryPeers,
         store: MetadataStore,
         pool: BackendPool,
+        random: Random,
     ) -> None:
         self._board = board
         self._replica = replica
@@ -98,18 +116,25 @@
         self._operator_schedule = _ReadSchedule('operator_records')
         # Keeps a registration in flight from following the removal.
         self._registration_lock = anyio.Lock()
+        self._is_registered = False
+        self._random = random
+        self._started_at = board.clock()
+        # When servers and operator's records may be copied from an entry again.
+        self._copy_servers_from = 0.0
+        self._copy_operator_from = 0.0
 
     async def poll_servers(self) -> None:
         """Read changes of backend servers when due, until cancelled."""
+        replica = self._replica
         while True:
+            is_lacking = replica.has_gap or replica.servers_end == NEVER_READ
+            if is_lacking and await self._copy_servers():
+                continue
             if self._is_due(
                 self._server_schedule,
-                self._replica.servers_read_at,
+                replica.servers_read_at,
                 SERVERS_MAX_AGE_S,
-                is_urgent=(
-                    self._replica.has_gap
-                    or self._replica.servers_end == NEVER_READ
-                ),
+                find_read_delay_s,
             ):
                 await self._read_servers()
             await anyio.sleep(POLL_INTERVAL_S)
@@ -117,39 +142,59 @@
     async def poll_operator_records(self) -> None:
         """Read records of the operator when due, until cancelled."""
         while True:
-            is_behind = self._is_behind()
+            if self._is_behind() and await self._copy_operator_records():
+                continue
             if self._is_due(
                 self._operator_schedule,
                 self._replica.operator_read_at,
                 OPERATOR_MAX_AGE_S,
-                is_urgent=(
-                    is_behind or self._replica.operator_end == NEVER_READ
-                ),
+                find_operator_read_delay_s,
             ):
                 await self._read_operator_records()
             await anyio.sleep(POLL_INTERVAL_S)
 
     async def register(self) -> None:
-        """Register this entry and look for others until it leaves.
+        """Register this entry if it is its turn, and look for others.
 
-        Registered entries are looked up only while none is heard from.
+        Registered entries are looked up while none is heard from, and now and
+        then by one entry for all.
         """
         ip = self._board.settings.ip
-        is_registered = False
+        has_seeds = bool(self._board.settings.seed_ips)
+        await anyio.sleep(
+            SEARCH_WAIT_S
+            if has_seeds
+            else self._random.uniform(0, SEARCH_SPREAD_S)
+        )
+        if not self._peers.list_alive(self._board.clock()):
+            await self._search()
+        searched_at = self._board.clock()
         while not self._board.is_leaving:
-            if not is_registered:
+            rank = self._find_rank(_REGISTERED_NAME)
+            if rank < REGISTERED_ENTRIES and not self._is_registered:
                 async with self._registration_lock:
                     failure = await self._store.register_entry(ip)
-                is_registered = failure is None
-            if not self._peers.list_alive(self._board.clock()):
-                ips = await self._store.read_entry_ips()
-                if isinstance(ips, tuple):
-                    self._peers.contact(ips)
+                self._is_registered = failure is None
+            now = self._board.clock()
+            is_search_due = not rank and now - searched_at > SEARCH_INTERVAL_S
+            if is_search_due or not self._peers.list_alive(now):
+                searched_at = now
+                await self._search()
             await anyio.sleep(DISCOVERY_INTERVAL_S)
 
+    async def _search(self) -> None:
+        """Contact the entries that are registered in the store."""
+        ips = await self._store.read_entry_ips()
+        if isinstance(ips, tuple):
+            self._peers.contact(ips)
+            # Those that run answer within this time.
+            await anyio.sleep(SEARCH_ANSWER_S)
+
     async def unregister(self) -> None:
         """Remove the registration of this entry, which is leaving."""
         async with self._registration_lock:
+            if not self._is_registered:
+                return
             failure = await self._store.remove_entry(self._board.settings.ip)
         if failure is not None:
             log_event('store_call_failed', reason=failure.detail)
@@ -159,32 +204,74 @@
         schedule: _ReadSchedule,
         read_at: float,
         max_age_s: float,
-        *,
-        is_urgent: bool,
+        find_delay_s: Callable[[int], float],
     ) -> bool:
         now = self._board.clock()
         if now < schedule.next_read_at:
             return False
-        if is_urgent:
-            return True
         overdue_s = now - read_at - max_age_s
+        if math.isinf(read_at):
+            overdue_s = now - self._started_at - self._find_start_wait_s()
+            # The first records are copied from entry to entry.
+            overdue_s /= FIRST_READ_DELAY_FACTOR
         # Ranking is costly and is skipped while the last read is recent enough.
-        return overdue_s > 0 and overdue_s > self._compute_rank_delay_s(now)
+        return overdue_s >= 0 and overdue_s >= find_delay_s(
+            self._find_rank(READERS_NAME)
+        )
+
+    def _find_start_wait_s(self) -> float:
+        """Return how long the first read is left to other entries."""
+        settings = self._board.settings
+        return 0.0 if settings.ip in settings.seed_ips else START_WAIT_S
 
-    def _compute_rank_delay_s(self, now: float) -> float:
+    def _find_rank(self, name: str) -> int:
         own_ip = self._board.settings.ip
-        ips = [peer.heartbeat.ip for peer in self._peers.list_alive(now)]
-        rank = rank_members(_RANKING_NAME, [own_ip, *ips]).index(own_ip)
-        return RANK_DELAY_S * min(rank, RANK_MAX)
+        alive = self._peers.list_alive(self._board.clock())
+        ips = [peer.heartbeat.ip for peer in alive]
+        return rank_members(name, [own_ip, *ips]).index(own_ip)
 
     def _is_behind(self) -> bool:
-        now = self._board.clock()
-        return any(
-            peer.heartbeat.operator_end > self._replica.operator_end
-            and now - peer.heard_at > BEHIND_AFTER_S
-            for peer in self._peers.list_alive(now)
+        peers = self._peers
+        return (
+            peers.newest_operator_end > self._replica.operator_end
+            and self._board.clock() - peers.newest_operator_heard_at
+            > BEHIND_AFTER_S
         )
 
+    async def _copy_servers(self) -> bool:
+        """Copy the servers of another entry; return whether it had more."""
+        now = self._board.clock()
+        if now < self._copy_servers_from:
+            return False
+        self._copy_servers_from = now + COPY_INTERVAL_S
+        source_ip = self._peers.newer_servers_ip
+        if not source_ip:
+            return False
+        # If this one has stopped, another one tells the same soon.
+        self._peers.newer_servers_ip = ''
+        end_before = self._replica.servers_end
+        await self._copy(source_ip, SNAPSHOT_PATH)
+        if self._replica.servers_end == end_before:
+            return False
+        self._peers.send_heartbeats()
+        return True
+
+    async def _copy_operator_records(self) -> bool:
+        """Copy the newest records of the operator from the entry with them."""
+        now = self._board.clock()
+        if now < self._copy_operator_from:
+            return False
+        self._copy_operator_from = now + COPY_INTERVAL_S
+        end_before = self._replica.operator_end
+        await self._copy(self._peers.newest_operator_ip, OPERATOR_SNAPSHOT_PATH)
+        if self._replica.operator_end == end_before:
+            # The other entry has stopped, or tells an end that it never read.
+            self._peers.forget_newest_operator_end()
+            return False
+        self._copy_operator_from = 0.0
+        self._peers.send_heartbeats()
+        return True
+
     async def _read_servers(self) -> None:
         read_at = self._board.clock()
         start = self._replica.servers_end
@@ -199,11 +286,14 @@
                 now = self._board.clock()
                 self._replica.apply_server_batch(batch, read_at, now)
                 _record_success(self._server_schedule)
+                if start == NEVER_READ:
+                    # Entries that have started too copy them from this one.
+                    self._peers.send_heartbeats()
                 self._peers.send_server_update(
                     self._replica.build_server_update(now),
                 )
             case StoreUnavailable(detail=detail):
-                await self._record_failure(self._server_schedule, detail)
+                self._record_failure(self._server_schedule, detail)
 
     async def _read_operator_records(self) -> None:
         read_at = self._board.clock()
@@ -221,11 +311,9 @@
                 # The heartbeat tells the others that they need not read now.
                 self._peers.send_heartbeats()
             case StoreUnavailable(detail=detail):
-                await self._record_failure(self._operator_schedule, detail)
+                self._record_failure(self._operator_schedule, detail)
 
-    async def _record_failure(
-        self, schedule: _ReadSchedule, detail: str
-    ) -> None:
+    def _record_failure(self, schedule: _ReadSchedule, detail: str) -> None:
         if not schedule.retry_delay_s:
             log_event('store_lost', records=schedule.records, reason=detail)
         self._board.metrics.count('store.read_failed')
@@ -233,22 +321,13 @@
             RETRY_DELAY_MAX_S, max(RETRY_DELAY_S, 2 * schedule.retry_delay_s)
         )
         schedule.next_read_at = self._board.clock() + schedule.retry_delay_s
-        if self._is_behind() or not self._board.has_servers:
-            await self._fetch_snapshot()
 
-    async def _fetch_snapshot(self) -> None:
-        alive = self._peers.list_alive(self._board.clock())
-        if not alive:
-            return
+    async def _copy(self, ip: str, path: str) -> None:
         self._board.metrics.count('snapshot.asked')
-        newest = max(alive, key=lambda peer: peer.heartbeat.operator_end)
-        address = ':'.join(
-            (newest.heartbeat.ip, str(self._board.settings.entry_port)),
-        )
         answer = await call_http(
             self._pool,
-            address,
-            SNAPSHOT_PATH,
+            f'{ip}:{self._board.settings.entry_port}',
+            path,
             timeout_s=SNAPSHOT_TIMEOUT_S,
         )
         if not isinstance(answer, Answered) or answer.status != _OK:
@@ -256,7 +335,7 @@
         snapshot = decode_snapshot(answer.body)
         if snapshot is None:
             self._board.metrics.count('snapshot.damaged')
-            log_event('snapshot_damaged', entry=newest.heartbeat.ip)
+            log_event('snapshot_damaged', entry=ip)
         else:
             self._replica.apply_snapshot(snapshot, self._board.clock())
 
--- a/copperyard/store_replica.py
+++ b/copperyard/store_replica.py
@@ -25,6 +25,9 @@
 # Largest distance between an update's end and the offset known here. Its reads
 # contain fewer records; a larger end is not from the log.
 UPDATE_OFFSETS_MAX: Final = 1_000_000
+# Two reads that began within this time are equally new. It is longer than an
+# update is on its way, and shorter than the interval between reads.
+NEWER_READ_S: Final = 0.1
 # End offset of a log that has not been read yet; offsets start at 0.
 NEVER_READ: Final = -1
 
@@ -124,25 +127,44 @@
             )
         self._advance_servers(batch.end, read_at)
 
-    def apply_server_update(self, update: ServerUpdate, now: float) -> None:
+    def record_operator_read(self, end: int, read_at: float) -> None:
+        """Record that another entry has read the operator's records.
+
+        :param end: offset up to which it has them.
+        :param read_at: when that was the end of the log, ``CLOCK_BOOTTIME`` in
+            seconds.
+        """
+        if end == self.operator_end:
+            self.operator_read_at = max(self.operator_read_at, read_at)
+
+    def apply_server_update(self, update: ServerUpdate, now: float) -> bool:
         """Apply changes of backend servers that another entry has read.
 
         :param update: the received update.
         :param now: ``CLOCK_BOOTTIME`` in seconds.
+        :returns: whether it was applied and is newer than what was known here.
         """
         if self.servers_end == NEVER_READ or update.start > self.servers_end:
             self.has_gap = True
-            return
+            return False
         if update.end > self.servers_end + UPDATE_OFFSETS_MAX:
             self._board.metrics.count('server_update.damaged')
             log_event('server_update_damaged', end=update.end)
-            return
+            return False
         read_at = now - update.age_s
+        is_new = (
+            update.end > self.servers_end
+            or read_at > self.servers_read_at + NEWER_READ_S
+        )
         if update.end >= self.servers_end:
             self._board.server_table.record_read(read_at, now)
         self._apply_changes(update.changes, now)
         if update.end > self.servers_end or read_at > self.servers_read_at:
             self._advance_servers(max(update.end, self.servers_end), read_at)
+        self.record_operator_read(
+            update.operator_end, now - update.operator_age_s
+        )
+        return is_new
 
     def build_server_update(self, now: float) -> ServerUpdate:
         """Return the changes found by this entry's most recent reads.
@@ -162,6 +184,18 @@
             self.servers_end,
             now - self.servers_read_at,
             tuple(changes),
+            operator_end=self.operator_end,
+            operator_age_s=now - self.operator_read_at,
+        )
+
+    def build_operator_snapshot(self) -> Snapshot:
+        """Return the newest records of the operator, without servers."""
+        return Snapshot(
+            self.operator_end,
+            tuple(self._records_by_name.values()),
+            NEVER_READ,
+            0.0,
+            (),
         )
 
     def build_snapshot(self, now: float) -> Snapshot:
--- a/tests/test_entry_peers.py
+++ b/tests/test_entry_peers.py
@@ -11,13 +11,15 @@
 from copperyard.crash_suspects import Crash
 from copperyard.entry_messages import Heartbeat, decode_datagram
 from copperyard.entry_peers import (
-    FORGET_AFTER_S,
-    HEARTBEAT_INTERVAL_S,
     HEARTBEATS_PER_FULL_ONE,
     LOAD_UPDATE_PEERS_MAX,
-    EntryPeer,
     EntryPeers,
 )
+from copperyard.entry_view import (
+    FORGET_AFTER_S,
+    HEARTBEAT_INTERVAL_S,
+    EntryPeer,
+)
 from copperyard.request_fingerprints import RequestFingerprints
 from copperyard.server_loads import LoadSample
 from copperyard.store_replica import StoreReplica
@@ -50,6 +52,7 @@
             group.start_soon(peers.receive)
             group.start_soon(peers.run_load_updates)
             group.start_soon(peers.run_urgent_heartbeats)
+            group.start_soon(peers.run_news)
         first[1].contact(('127.0.0.32',))
         for _, peers in (first, second):
             group.start_soon(peers.run_heartbeats)
--- a/tests/test_peer_forwarding.py
+++ b/tests/test_peer_forwarding.py
@@ -16,7 +16,7 @@
 from copperyard.clock import seconds_since_boot
 from copperyard.dispatching import Dispatcher
 from copperyard.entry_api import EntryApi
-from copperyard.entry_peers import EntryPeer
+from copperyard.entry_view import EntryPeer
 from copperyard.exchanges import BackendPool, StreamedResponse
 from copperyard.forwarded_requests import (
     ForwardedOutcome,
--- a/tests/test_server_links.py
+++ b/tests/test_server_links.py
@@ -14,7 +14,8 @@
     decode_datagram,
     encode_message,
 )
-from copperyard.entry_peers import LISTED_SERVICES, EntryPeer, EntryPeers
+from copperyard.entry_peers import LISTED_SERVICES, EntryPeers
+from copperyard.entry_view import EntryPeer
 from copperyard.link_controller import LinkController
 from copperyard.server_links import SILENCE_MIN_S, ServerLinks
 from tests.entry_builders import (
@@ -212,6 +213,7 @@
 class _Replica:
     operator_end = 1
     operator_read_at = 0.0
+    servers_end = 1
 
 
 @pytest.mark.anyio
--- a/tests/test_server_pauses.py
+++ b/tests/test_server_pauses.py
@@ -158,6 +158,7 @@
     class Replica:
         operator_end = 1
         operator_read_at = 0.0
+        servers_end = 1
 
     board = build_board('s1')
     before = EntryPeers(board, Replica(), Random(1)).describe_self(1.0)
