Bound what entries tell each other, whatever their number

Each entry sent heartbeats to all others, at most 80 a second, so with 312 entries a stopped one was named to callers for more than 13 s; each read of the store went to 311 entries; and at a start or a change of the configuration every entry called the store itself.

An entry now sends heartbeats to the next entries on a ring, which ask others before they say that it is down; states and changes of servers spread as an epidemic inside a failure domain and from the origin to a few entries of each other one; what an entry lacks it copies from the entry that told of it. The decisions are pure modules, played by entry_model.

--- a/copperyard/entry_gossip.py
+++ b/copperyard/entry_gossip.py
@@ -7,9 +7,9 @@
 module has no network and no clock of its own.
 """
 
-from collections import defaultdict
+from collections import defaultdict, deque
 from collections.abc import Callable, Iterable, Iterator
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 from random import Random
 from typing import Final
 
@@ -29,6 +29,7 @@
     EntryView,
     order_of,
 )
+from copperyard.state_queue import QueuedState, StateQueue
 
 # Entries of the own failure domain that get each message. Those that all of
 # them leave out get the state with the next heartbeats.
@@ -41,24 +42,25 @@
 NEWS_DELAY_S: Final = 0.01
 # States in one datagram.
 STATES_PER_DATAGRAM: Final = 40
-# How often states are sent again, each time to entries drawn anew: most of the
-# first ones may have been killed at the same time.
-NEWS_REPEATS: Final = 3
 # Two entries whose views differ exchange all states, but not while changes
 # are on their way, and not more often than this.
 EXCHANGE_INTERVAL_S: Final = 1.0
 # An entry that has just started knows only a few others at first and tells its
 # state this often.
 START_ANNOUNCEMENTS: Final = 3
+# Questions of other entries that wait for the answer of a silent one.
+ASKERS_MAX: Final = 64
+# How long such an answer is passed on.
+ASKED_MAX_AGE_S: Final = 0.3
 # Heartbeats sent to an entry that has never been heard from.
 CONTACT_TRIES_MAX: Final = 20
 
 
 @dataclass(frozen=True, slots=True)
-class _RepeatedState:
-    state: Heartbeat
-    repeats_left: int
-    is_origin: bool
+class _Asker:
+    ip: str
+    silent_ip: str
+    asked_at: float
 
 
 class EntryGossip:
@@ -87,10 +89,8 @@
         self._describe = describe
         self._send = send
         self._random = random
-        self._states_to_send_by_ip: dict[str, Heartbeat] = {}
-        # Whether this entry is the first to tell the state of an entry.
-        self._origin_ips: set[str] = set()
-        self._repeated_by_ip: dict[str, _RepeatedState] = {}
+        self._states = StateQueue()
+        self._askers: deque[_Asker] = deque(maxlen=ASKERS_MAX)
         self._changed_at = float('-inf')
         self._exchanged_at = float('-inf')
         self._beat_at = float('-inf')
@@ -101,7 +101,7 @@
     @property
     def has_news(self) -> bool:
         """Return whether states wait to be sent."""
-        return bool(self._states_to_send_by_ip)
+        return bool(self._states)
 
     def contact(self, ips: Iterable[str]) -> None:
         """Send a heartbeat to entries that are not known, and keep trying.
@@ -183,7 +183,7 @@
         for ip in self.tries_by_ip:
             self._send(ip, heartbeat)
         self._greeted_ips = set(watcher_ips)
-        self._repeat_news()
+        self._send_news(self._states.take_repeated())
 
     def count_tries(self) -> None:
         """Count the tries to reach entries that have not answered yet."""
@@ -228,9 +228,7 @@
         added_ips: list[str] = []
         for state in map(_strip, news.states):
             if state.ip == self.view.own_ip:
-                if self.view.refute(state):
-                    own_state = _strip(self._describe(False))
-                    self._queue(own_state, now, is_origin=True)
+                self._refute(state, now)
                 continue
             is_added = state.ip not in self.view.peers_by_ip
             if self.view.merge(state, now, is_direct=False):
@@ -240,19 +238,21 @@
         return added_ips
 
     def handle_inquiry(self, inquiry: Inquiry, now: float) -> None:
-        """Answer whether an entry has been heard of lately.
+        """Answer whether an entry has been heard of, or try to reach it.
 
         :param inquiry: the question.
         :param now: ``CLOCK_BOOTTIME`` in seconds.
         """
         self.view.record_contact(now)
-        own_ip = self.view.own_ip
-        age_s = self.view.find_heard_age_s(inquiry.silent_ip, now)
-        if inquiry.silent_ip == own_ip:
+        own_ip, silent_ip = self.view.own_ip, inquiry.silent_ip
+        age_s = self.view.find_heard_age_s(silent_ip, now)
+        if silent_ip == own_ip:
             age_s = 0.0
         if age_s is not None:
-            report = HeardReport(own_ip, inquiry.silent_ip, age_s)
-            self._send(inquiry.ip, report)
+            self._send(inquiry.ip, HeardReport(own_ip, silent_ip, age_s))
+        elif silent_ip in self.view.peers_by_ip:
+            self._askers.append(_Asker(inquiry.ip, silent_ip, now))
+            self._send(silent_ip, Inquiry(own_ip, silent_ip))
 
     def handle_heard(self, report: HeardReport, now: float) -> None:
         """Apply what another watcher has heard.
@@ -262,6 +262,21 @@
         """
         self.view.record_contact(now)
         self.view.record_heard(report.heard_ip, report.age_s, now)
+        answered = [
+            asker
+            for asker in self._askers
+            if asker.silent_ip == report.heard_ip
+        ]
+        for asker in answered:
+            # Each asker gets one answer, so that none goes round in a circle.
+            self._askers.remove(asker)
+            if now - asker.asked_at < ASKED_MAX_AGE_S:
+                self._send(
+                    asker.ip,
+                    HeardReport(
+                        self.view.own_ip, report.heard_ip, report.age_s
+                    ),
+                )
 
     def handle_goodbye(self, ip: str, now: float) -> None:
         """Apply that an entry of an older version is leaving.
@@ -279,24 +294,15 @@
 
     def flush(self) -> None:
         """Send the states that have been collected."""
-        states_by_ip, self._states_to_send_by_ip = (
-            self._states_to_send_by_ip,
-            {},
-        )
-        origin_ips, self._origin_ips = self._origin_ips, set()
-        for ip, state in states_by_ip.items():
-            self._repeated_by_ip[ip] = _RepeatedState(
-                state, NEWS_REPEATS, is_origin=ip in origin_ips
-            )
-        self._send_news(
-            states_by_ip.values(),
-            [state for ip, state in states_by_ip.items() if ip in origin_ips],
-        )
-        for state in states_by_ip.values():
+        queued = tuple(self._states.take_new())
+        self._send_news(queued)
+        for item in queued:
+            state = item.state
             is_local = state.failure_domain == self._own_domain
             if state.status is EntryStatus.DOWN and (
-                is_local or state.ip in origin_ips
+                is_local or item.is_origin
             ):
+                # It can refute this.
                 self._send_states((state.ip,), (state,))
 
     def spread(self, now: float) -> tuple[list[str], bool]:
@@ -315,26 +321,15 @@
         """Return who gets a message that another entry has begun."""
         return self._choose_targets()[0]
 
-    def _repeat_news(self) -> None:
-        """Send recent states again, to other entries than before."""
-        repeated = tuple(self._repeated_by_ip.values())
-        if repeated:
-            self._send_news(
-                [news.state for news in repeated],
-                [news.state for news in repeated if news.is_origin],
-            )
-        self._repeated_by_ip = {
-            ip: replace(news, repeats_left=news.repeats_left - 1)
-            for ip, news in self._repeated_by_ip.items()
-            if news.repeats_left > 1
-        }
-
-    def _send_news(
-        self, states: Iterable[Heartbeat], originated: Iterable[Heartbeat]
-    ) -> None:
-        local, remote = self._choose_targets()
-        self._send_states(local, states)
-        self._send_states(remote, originated)
+    def _send_news(self, queued: Iterable[QueuedState]) -> None:
+        items = tuple(queued)
+        if not items:
+            return
+        local_ips, remote_ips = self._choose_targets()
+        self._send_states(local_ips, [item.state for item in items])
+        self._send_states(
+            remote_ips, [item.state for item in items if item.is_origin]
+        )
 
     def _greet_new_watchers(self) -> None:
         """Send a heartbeat to watchers that have not had any yet."""
@@ -349,11 +344,14 @@
             and heartbeat.view_digest not in {0, self.view.digest}
         )
 
+    def _refute(self, state: Heartbeat, now: float) -> None:
+        if self.view.refute(state):
+            own_state = _strip(self._describe(False))
+            self._queue(own_state, now, is_origin=True)
+
     def _queue(self, state: Heartbeat, now: float, *, is_origin: bool) -> None:
         self._changed_at = now
-        self._states_to_send_by_ip[state.ip] = state
-        if is_origin:
-            self._origin_ips.add(state.ip)
+        self._states.put(state, is_origin=is_origin)
 
     def _choose_targets(self) -> tuple[list[str], list[str]]:
         """Return entries of the own and of the other failure domains."""
--- a/copperyard/entry_model.py
+++ b/copperyard/entry_model.py
@@ -1,18 +1,17 @@
 """Plays many entries on a virtual clock and a virtual network.
 
-``python -m copperyard.entry_model`` prints for patterns of failures and numbers
-of entries how soon all know, what each entry sends, and how often the store is
-read. The decisions are those of ``entry_view``, ``entry_gossip`` and
-``read_turns``; only clock and network are virtual.
+The decisions are those of ``entry_view``, ``entry_gossip`` and ``read_turns``;
+only clock and network are virtual. ``entry_patterns`` plays failures on it.
 """
 
 import heapq
-from collections import Counter
+from collections import Counter, defaultdict
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from functools import partial
 from itertools import count
 from random import Random
-from typing import Final
+from typing import Final, TypeAlias
 
 from copperyard.entry_gossip import NEWS_DELAY_S, EntryGossip
 from copperyard.entry_messages import (
@@ -45,6 +44,12 @@
 STORE_ANSWER_S: Final = 0.004
 COPY_S: Final = 0.005
 COPY_INTERVAL_S: Final = 0.2
+# Interval between checks whom lookups name.
+WATCH_INTERVAL_S: Final = 0.1
+PLACES_PER_SUBNET: Final = 200
+
+_TimesByIp: TypeAlias = dict[str, float]
+_Event: TypeAlias = tuple[float, int, Callable[[], None]]
 
 
 @dataclass
@@ -243,6 +248,7 @@
         if not self.is_running:
             return
         now = self._model.now
+        self._model.last_reader_ip = self.ip
         start = max(0, self.servers_end - self._model.records_per_s)
         self.servers_end = self._model.find_log_end()
         self.servers_read_at = now - STORE_ANSWER_S
@@ -271,33 +277,32 @@
         self.traffic = Traffic()
         self.entries_by_ip: dict[str, ModelEntry] = {}
         self.records_per_s = 160
+        # The entry that has read the store last.
+        self.last_reader_ip = ''
         # Entries that were said to be down while they ran, one item each time.
         self.false_downs: list[str] = []
+        # How often an entry was found that did not name one that ran.
+        self.unnamed = 0
         # Times at which each entry got an end of the log, by that end.
-        self.updates_by_end: dict[int, dict[str, float]] = {}
+        self.updates_by_end: defaultdict[int, _TimesByIp]
+        self.updates_by_end = defaultdict(dict)
         self.is_cut: Callable[[ModelEntry, ModelEntry], bool] = (
             lambda sender, receiver: False
         )
         self._loss = loss
         self._random = Random(seed)
-        self._events: list[tuple[float, int, Callable[[], None]]] = []
+        self._events: list[_Event] = []
         self._sequence = count()
         self._places = [
-            (
-                f'10.{index % domains}.{index // 200}.{1 + index % 200}',
-                f'domain-{index % domains}',
-            )
-            for index in range(entries)
+            _build_place(index, index % domains) for index in range(entries)
         ]
         self.seed_ips = tuple(ip for ip, _ in self._places[:SEEDS])
 
     def start_all(self) -> None:
         """Start all entries within ``START_SPREAD_S``."""
         for place in self._places:
-            self.call_later(
-                self._random.random() * START_SPREAD_S,
-                lambda place=place: self.start(*place),  # type: ignore[misc]
-            )
+            delay_s = self._random.random() * START_SPREAD_S
+            self.call_later(delay_s, partial(self.start, *place))
 
     def start(self, ip: str, domain: str) -> None:
         """Start an entry, or start it again without what it knew."""
@@ -318,8 +323,9 @@
         """Run for some time of the virtual clock."""
         end = self.now + seconds
         while self._events and self._events[0][0] <= end:
-            self.now, _, call = heapq.heappop(self._events)
-            call()
+            event = heapq.heappop(self._events)
+            self.now = event[0]
+            event[2]()
         self.now = end
 
     def send(self, sender: ModelEntry, ip: str, message: Datagram) -> None:
@@ -349,7 +355,7 @@
 
     def record_update(self, ip: str, end: int) -> None:
         """Record that an entry has got the changes up to an offset."""
-        self.updates_by_end.setdefault(end, {}).setdefault(ip, self.now)
+        self.updates_by_end[end].setdefault(ip, self.now)
 
     def list_running(self) -> list[ModelEntry]:
         """Return the entries that run."""
@@ -367,6 +373,21 @@
         ips = [entry.ip for entry in self.list_running()]
         return self._random.sample(ips, round(share * len(ips)))
 
+    def draw_one(self) -> str:
+        """Return one of the running entries, drawn at random."""
+        return self._random.choice([entry.ip for entry in self.list_running()])
+
+    def run_watching(self, seconds: float) -> None:
+        """Run for some time, and count entries that are not named though up."""
+        end = self.now + seconds
+        while self.now < end:
+            self.run(WATCH_INTERVAL_S)
+            running = {entry.ip for entry in self.list_running()}
+            for entry in self.list_running():
+                alive = entry.view.list_alive(self.now)
+                named = {entry.ip, *(peer.heartbeat.ip for peer in alive)}
+                self.unnamed += len(running - named)
+
     def measure_until(
         self, is_known: Callable[[ModelEntry], bool], limit_s: float
     ) -> list[float]:
@@ -381,13 +402,12 @@
         waiting = self.list_running()
         while waiting and self.now - started_at < limit_s:
             self.run(0.02)
-            for entry in waiting:
-                if is_known(entry):
-                    times_by_ip[entry.ip] = self.now - started_at
+            for entry in filter(is_known, waiting):
+                times_by_ip[entry.ip] = self.now - started_at
             waiting = [
-                entry
-                for entry in waiting
-                if entry.ip not in times_by_ip and entry.is_running
+                other
+                for other in waiting
+                if other.ip not in times_by_ip and other.is_running
             ]
         missing = [float('inf')] * len(waiting)
         return sorted((*times_by_ip.values(), *missing))
@@ -396,3 +416,10 @@
         receiver = self.entries_by_ip[ip]
         if receiver.is_running:
             receiver.handle(message)
+
+
+def _build_place(index: int, domain: int) -> tuple[str, str]:
+    """Return IP address and failure domain of an entry."""
+    third = index // PLACES_PER_SUBNET
+    fourth = 1 + index % PLACES_PER_SUBNET
+    return f'10.{domain}.{third}.{fourth}', f'domain-{domain}'
--- a/copperyard/entry_peers.py
+++ b/copperyard/entry_peers.py
@@ -385,8 +385,8 @@
     def _handle_entry_message(self, message: Datagram, now: float) -> None:
         match message:
             case EntryNews():
-                for ip in self._gossip.handle_news(message, now):
-                    log_event('entry_heard', entry=ip, source=message.ip)
+                for heard_ip in self._gossip.handle_news(message, now):
+                    log_event('entry_heard', entry=heard_ip, source=message.ip)
                 self._update_entry_ips()
             case Inquiry():
                 self._gossip.handle_inquiry(message, now)
--- a/copperyard/entry_view.py
+++ b/copperyard/entry_view.py
@@ -6,7 +6,7 @@
 version of its own state. States spread by gossip; this module has no network.
 """
 
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterator
 from dataclasses import dataclass, field
 from functools import lru_cache
 from random import Random
@@ -30,7 +30,9 @@
 # How long the answers of other watchers are waited for.
 INQUIRY_WAIT_S: Final = 0.2
 # Other watchers that are asked about a silent entry.
-ASKED_WATCHERS: Final = 3
+ASKED_WATCHERS: Final = 2
+# Entries of third failure domains that are asked to try to reach it.
+ASKED_OTHERS: Final = 2
 # An entry that is said to be down is still named to callers for this time, in
 # which it can refute that.
 REFUTATION_S: Final = 0.15
@@ -306,18 +308,35 @@
             peer.asked_at = None
         elif peer.asked_at is None:
             peer.asked_at = now
-            others = [
-                other
-                for other in self._find_watchers(ip)
-                if other != self.own_ip
-            ]
-            asked = self._random.sample(
-                others, min(ASKED_WATCHERS, len(others))
+            check.inquiries.extend(
+                (other, ip) for other in self._choose_asked(peer.heartbeat)
             )
-            check.inquiries.extend((other, ip) for other in asked)
         elif now - peer.asked_at >= INQUIRY_WAIT_S:
             check.down_ips.append(ip)
 
+    def _choose_asked(self, silent: Heartbeat) -> list[str]:
+        """Return the entries to ask about a silent one."""
+        watcher_ips = [
+            ip
+            for ip in self._update_ring().find_watchers(silent.ip)
+            if ip != self.own_ip
+        ]
+        cut_domains = {self._own_domain, silent.failure_domain}
+        other_ips = [
+            ip
+            for ip, peer in self.peers_by_ip.items()
+            if peer.is_alive
+            and peer.heartbeat.failure_domain not in cut_domains
+        ]
+        asked = [
+            *self._draw(watcher_ips, ASKED_WATCHERS),
+            *self._draw(other_ips, ASKED_OTHERS),
+        ]
+        return list(dict.fromkeys(asked))
+
+    def _draw(self, ips: list[str], count: int) -> list[str]:
+        return self._random.sample(ips, min(count, len(ips)))
+
     def _mark_down(self, peer: EntryPeer, now: float) -> None:
         peer.heartbeat = msgspec.structs.replace(
             peer.heartbeat, status=EntryStatus.DOWN
@@ -326,10 +345,6 @@
         peer.asked_at = None
         self._ring = None
 
-    def _find_watchers(self, ip: str) -> Iterable[str]:
-        ring = self._update_ring()
-        return ring.find_watchers(ip)
-
     def _update_ring(self) -> EntryRing:
         if self._ring is not None:
             return self._ring
--- a/copperyard/read_turns.py
+++ b/copperyard/read_turns.py
@@ -43,4 +43,5 @@
 
     :param rank: its place in the ranking of the entries, from 0.
     """
-    return find_read_delay_s(rank) + (SERVERS_MAX_AGE_S if rank else 0.0)
+    delay_s = find_read_delay_s(rank)
+    return delay_s + SERVERS_MAX_AGE_S if rank else delay_s
--- a/copperyard/store_poller.py
+++ b/copperyard/store_poller.py
@@ -324,9 +324,10 @@
 
     async def _copy(self, ip: str, path: str) -> None:
         self._board.metrics.count('snapshot.asked')
+        port = self._board.settings.entry_port
         answer = await call_http(
             self._pool,
-            f'{ip}:{self._board.settings.entry_port}',
+            f'{ip}:{port}',
             path,
             timeout_s=SNAPSHOT_TIMEOUT_S,
         )
