--- a/copperyard/server_update_parts.py
+++ b/copperyard/server_update_parts.py
@@ -8,8 +8,8 @@
 from copperyard.entry_messages import ServerUpdate
 from copperyard.server_table import ServerChange
 
-# A change takes at most half a kilobyte; most take a quarter of that.
-CHANGES_PER_PART: Final = 16
+# A change takes at most 0.8 kB; most take a fifth of that.
+CHANGES_PER_PART: Final = 10
 # Age of parts that are not the last one: only with the last one is an entry up
 # to date.
 INCOMPLETE_AGE_S: Final = 1_000_000.0
