--- a/copperyard/entry_gossip.py
+++ b/copperyard/entry_gossip.py
@@ -27,6 +27,7 @@
     HEARTBEAT_INTERVAL_S,
     EntryPeer,
     EntryView,
+    SilenceCheck,
     order_of,
 )
 from copperyard.state_queue import QueuedState, StateQueue
@@ -144,21 +145,31 @@
         self._announced = announced
         self._queue(state, now, is_origin=True)
 
-    def tick(self, now: float) -> bool:
-        """Do what is due; called several times a second.
+    def check_silence(self, now: float) -> SilenceCheck:
+        """Ask about silent entries, and tell which ones are down.
+
+        Called several times a second.
 
         :param now: ``CLOCK_BOOTTIME`` in seconds.
-        :returns: whether heartbeats to the watchers are due.
+        :returns: what followed from the silence.
         """
         self.announce(now)
         check = self.view.check_silence(now)
-        own_ip = self.view.own_ip
         for watcher_ip, silent_ip in check.inquiries:
-            self._send(watcher_ip, Inquiry(own_ip, silent_ip))
+            self._send(watcher_ip, Inquiry(self.view.own_ip, silent_ip))
         for ip in check.down_ips:
             self._queue(
                 self.view.peers_by_ip[ip].heartbeat, now, is_origin=True
             )
+        return check
+
+    def is_heartbeat_due(self, now: float) -> bool:
+        """Return whether heartbeats to the watchers are due.
+
+        If not, only watchers that have had none yet get one.
+
+        :param now: ``CLOCK_BOOTTIME`` in seconds.
+        """
         if now - self._beat_at < HEARTBEAT_INTERVAL_S:
             self._greet_new_watchers()
             return False
--- a/copperyard/entry_model.py
+++ b/copperyard/entry_model.py
@@ -164,15 +164,11 @@
             return
         now = self._model.now
         self.view.forget_gone(now)
-        before = {
-            ip for ip, peer in self.view.peers_by_ip.items() if peer.is_alive
-        }
-        if self.gossip.tick(now):
+        for ip in self.gossip.check_silence(now).down_ips:
+            self._model.record_down(ip)
+        if self.gossip.is_heartbeat_due(now):
             self.gossip.send_heartbeats(self.describe(False))
             self.gossip.count_tries()
-        for ip in before:
-            if not self.view.peers_by_ip[ip].is_alive:
-                self._model.record_down(ip)
         self._plan_flush()
         self._model.call_later(TICK_INTERVAL_S, self._tick)
 
--- a/copperyard/entry_peers.py
+++ b/copperyard/entry_peers.py
@@ -296,32 +296,27 @@
         self.send_heartbeats()
 
     def _run_once(self, now: float) -> None:
-        for ip in self.view.forget_gone(now):
-            log_event('entry_forgotten', entry=ip)
-        self._update_entry_ips()
-        alive_before = self._count_alive()
-        is_due = self._gossip.tick(now)
-        if self._count_alive() < alive_before:
-            self._log_down(now)
-        if is_due:
+        check = self._gossip.check_silence(now)
+        for down_ip in check.down_ips:
+            self._log_down(down_ip, now)
+        if self._gossip.is_heartbeat_due(now):
+            for ip in self.view.forget_gone(now):
+                log_event('entry_forgotten', entry=ip)
+            self._update_entry_ips()
             self._board.forget_old_facts()
             self.send_heartbeats()
             self._contact_seeds()
             self._gossip.count_tries()
         self._signal_news()
 
-    def _count_alive(self) -> int:
-        return sum(peer.is_alive for peer in self.peers_by_ip.values())
-
-    def _log_down(self, now: float) -> None:
-        for ip, peer in self.peers_by_ip.items():
-            if not peer.is_alive and peer.changed_at == now:
-                self._board.metrics.count('entry.down')
-                log_event(
-                    'entry_down',
-                    entry=ip,
-                    silent_ms=round((now - peer.heard_at) * MILLISECONDS_PER_S),
-                )
+    def _log_down(self, ip: str, now: float) -> None:
+        silent_s = now - self.peers_by_ip[ip].heard_at
+        self._board.metrics.count('entry.down')
+        log_event(
+            'entry_down',
+            entry=ip,
+            silent_ms=round(silent_s * MILLISECONDS_PER_S),
+        )
 
     def _describe(self, is_full: bool) -> Heartbeat:  # noqa: FBT001
         return self.describe_self(self._board.clock(), is_full=is_full)
@@ -425,7 +420,8 @@
             self._board.has_urgent_news.set()
 
     def _has_unwatching_peers(self) -> bool:
-        return len(self.view.list_watchers()) < self._count_alive()
+        alive = self.list_alive(self._board.clock())
+        return len(self.view.list_watchers()) < len(alive)
 
     def _apply_load_update(self, update: LoadUpdate, now: float) -> None:
         for report in filter(self._check_report, update.reports):
--- a/copperyard/entry_view.py
+++ b/copperyard/entry_view.py
@@ -6,6 +6,7 @@
 version of its own state. States spread by gossip; this module has no network.
 """
 
+import math
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 from functools import lru_cache
@@ -127,6 +128,14 @@
         self._heard_any_at = float('-inf')
         self._checked_at = float('-inf')
         self._ring: EntryRing | None = None
+        # The entries that are alive, and how many were known then; ``None``
+        # after a change.
+        self._alive: list[EntryPeer] | None = None
+        self._alive_of = 0
+        # Until then, an entry that is said to be down may refute it.
+        self._refutable_until = float('-inf')
+        # Digest of the states of all others; ``None`` after a change.
+        self._peers_digest: int | None = None
         self._watched_ips: list[str] = []
         self._watcher_ips: list[str] = []
 
@@ -134,9 +143,11 @@
     def digest(self) -> int:
         """Return a digest of all states, equal for equal views."""
         own_order = (self.incarnation, self.version, self.status)
-        digest = _digest_state(self.own_ip, own_order)
-        for ip, peer in self.peers_by_ip.items():
-            digest ^= _digest_state(ip, peer.order)
+        if self._peers_digest is None:
+            self._peers_digest = 0
+            for ip, peer in self.peers_by_ip.items():
+                self._peers_digest ^= _digest_state(ip, peer.order)
+        digest = self._peers_digest ^ _digest_state(self.own_ip, own_order)
         return digest & _DIGEST_MASK
 
     def is_isolated(self, now: float) -> bool:
@@ -146,11 +157,12 @@
 
         :param now: ``CLOCK_BOOTTIME`` in seconds.
         """
-        heard_at = max(
-            (peer.heard_at for peer in self.peers_by_ip.values()),
-            default=self._heard_any_at,
+        if now - self._heard_any_at <= SILENT_AFTER_S:
+            return False
+        return all(
+            now - peer.heard_at > SILENT_AFTER_S
+            for peer in self.peers_by_ip.values()
         )
-        return now - max(heard_at, self._heard_any_at) > SILENT_AFTER_S
 
     def list_alive(self, now: float) -> list[EntryPeer]:
         """Return the entries that are neither down nor leaving.
@@ -159,9 +171,16 @@
         """
         if self.is_isolated(now):
             return []
-        return [
-            peer for peer in self.peers_by_ip.values() if peer.is_named(now)
-        ]
+        if now < self._refutable_until:
+            return [
+                peer for peer in self.peers_by_ip.values() if peer.is_named(now)
+            ]
+        if self._alive is None or self._alive_of != len(self.peers_by_ip):
+            self._alive_of = len(self.peers_by_ip)
+            self._alive = [
+                peer for peer in self.peers_by_ip.values() if peer.is_alive
+            ]
+        return self._alive
 
     def list_watchers(self) -> list[str]:
         """Return the entries that get the heartbeats of this one."""
@@ -195,10 +214,12 @@
                 peer.heartbeat = state
             return False
         was_alive = peer.is_alive
+        self._peers_digest = None
         peer.heartbeat = state
         peer.changed_at = now
         if was_alive != peer.is_alive:
-            self._ring = None
+            self._ring = self._alive = None
+            self._refutable_until = now + REFUTATION_S
             peer.asked_at = None
             peer.heard_at = max(peer.heard_at, now if peer.is_alive else 0.0)
         return True
@@ -253,7 +274,8 @@
         :returns: whom to ask, and which entries are now down.
         """
         check = SilenceCheck()
-        was_paused = now - self._checked_at > PAUSE_MIN_S
+        # The first check follows no other one.
+        was_paused = PAUSE_MIN_S < now - self._checked_at < math.inf
         self._checked_at = now
         if was_paused:
             for ip in self.list_watched():
@@ -282,7 +304,7 @@
         ]
         for ip in gone_ips:
             self.peers_by_ip.pop(ip)
-            self._ring = None
+            self._ring = self._alive = self._peers_digest = None
         return gone_ips
 
     def list_unreached(self) -> Iterator[str]:
@@ -298,7 +320,7 @@
             # News of an entry that has been forgotten.
             return False
         self.peers_by_ip[state.ip] = EntryPeer(now, state, now)
-        self._ring = None
+        self._ring = self._alive = self._peers_digest = None
         return True
 
     def _check_peer(
@@ -343,7 +365,8 @@
         )
         peer.changed_at = now
         peer.asked_at = None
-        self._ring = None
+        self._refutable_until = now + REFUTATION_S
+        self._ring = self._alive = self._peers_digest = None
 
     def _update_ring(self) -> EntryRing:
         if self._ring is not None:
