Refuse a head that consists of the heads of two responses

A success cut in its status line before an error made a 200. Such heads are malformed now, which promises nothing.

--- a/copperyard/http_codec.py
+++ b/copperyard/http_codec.py
@@ -25,6 +25,8 @@
 _HOST: Final = b'host'
 _FINAL_STATUS_MIN: Final = 200
 _BODYLESS_STATUSES: Final = frozenset((204, 304))
+# An answer that was cut in its head goes on with the status line of the next.
+_STATUS_LINE_PATTERN: Final = re.compile(rb'HTTP/1\.[01] [1-5][0-9]{2}')
 _OPTIONAL_WHITESPACE: Final = b' \t'
 _HOP_BY_HOP_HEADERS: Final = frozenset(
     (
@@ -94,6 +96,7 @@
         self._is_skipping_response = False
         self._is_reusable = False
         self._has_extra_bytes = False
+        self._reason = b''
         self._headers: list[Header] = []
         self._parts: list[bytes] = []
         self._non_body_bytes = 0
@@ -143,6 +146,11 @@
     def on_message_begin(self) -> None:
         """Record whether bytes follow the end of the response."""
         self._has_extra_bytes = self.is_complete
+        self._reason = b''
+
+    def on_status(self, part: bytes) -> None:
+        """Store the reason phrase, which may arrive in parts."""
+        self._reason += part
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Store a header; trailer fields are ignored."""
@@ -156,6 +164,7 @@
         status = self._parser.get_status_code()
         if self.head is not None:
             return
+        self._check_head()
         if status >= _FINAL_STATUS_MIN:
             self._accept_head(_read_head(status, self._headers, self._has_body))
         self._headers = []
@@ -176,6 +185,16 @@
         if self.head is not None and not self.is_complete:
             self._complete()
 
+    def _check_head(self) -> None:
+        """Refuse a head that consists of the heads of two responses."""
+        values = [self._reason, *(value for _, value in self._headers)]
+        if any(map(_STATUS_LINE_PATTERN.search, values)):
+            raise HttpParserError('a status line inside a head')
+        if self._correlation_header is not None:
+            names = [name for name, _ in self._headers]
+            if names.count(self._correlation_header[0]) > 1:
+                raise HttpParserError('more than one request id')
+
     def _accept_head(self, head: ResponseHead) -> None:
         expected = self._correlation_header
         if (
--- a/tests/test_answer_bytes.py
+++ b/tests/test_answer_bytes.py
@@ -28,7 +28,7 @@
 
 pytestmark = [pytest.mark.anyio, pytest.mark.timeout(120)]
 # Set for a long run by hand.
-ROUNDS = int(os.environ.get('ANSWER_BYTES_ROUNDS', '300'))
+ROUNDS = int(os.environ.get('ANSWER_BYTES_ROUNDS', '500'))
 # Marks a connection that is reset, not closed.
 RESET = b'\x00reset'
 
@@ -199,10 +199,24 @@
     assert dict(result.headers)[b'x-request-id'] == b'q2'
 
 
+# Refusals that stop inside a header, so that the next answer goes on there.
+CUT_AFTER_ID = refuse('q1').partition(b'\r\ncontent-length')[0]
+CUT_BEFORE_ID = b'HTTP/1.1 503 No\r\nx-not-executed: 1'
+CUT_LATER = b'HTTP/1.1 503 No\r\nx-not-executed: 1\r\nretry-after: 1'
+
+
 @pytest.mark.parametrize(
     'second',
     [
         pytest.param((refuse('q1'), None), id='of the earlier request'),
+        pytest.param((CUT_AFTER_ID + TWO, None), id='cut after its id'),
+        pytest.param((CUT_BEFORE_ID + TWO, None), id='cut before its id'),
+        pytest.param((CUT_LATER + TWO, None), id='cut in a later header'),
+        pytest.param((b'HTTP/1.1 503 N' + TWO, None), id='cut in its reason'),
+        pytest.param(
+            (b'HTTP/1.1 200 O' + answer('q2', status=500), None),
+            id='success cut before an error',
+        ),
         pytest.param((refuse('q1', 421), None), id='421 of the earlier one'),
         pytest.param((refuse(''), None), id='without id'),
         pytest.param((refuse('', 421), None), id='421 without id'),
