Shorten the waits of entries that start

Start wait 0.8 to 0.35 s, search within 0.2 instead of 0.3 s, first reads after 1.5 instead of 3 times the usual delay.

--- a/copperyard/read_turns.py
+++ b/copperyard/read_turns.py
@@ -14,17 +14,17 @@
 FURTHER_RANK_DELAY_S: Final = 0.02
 # How long an entry that has just started waits to hear from others before it
 # reads what they may have; the entries that are named as seeds do not wait.
-START_WAIT_S: Final = 0.8
+START_WAIT_S: Final = 0.35
 # How long it waits to hear from its seeds before it looks for others in the
 # store and registers there.
-SEARCH_WAIT_S: Final = 0.6
+SEARCH_WAIT_S: Final = 0.3
 # Without seeds, entries that start together look one after another within this
 # time, so that most of them find others that have registered.
-SEARCH_SPREAD_S: Final = 0.3
+SEARCH_SPREAD_S: Final = 0.2
 # Time for the answers of entries that were found in the store.
 SEARCH_ANSWER_S: Final = 0.05
 # How much longer the first read is left to the entries before.
-FIRST_READ_DELAY_FACTOR: Final = 3.0
+FIRST_READ_DELAY_FACTOR: Final = 1.5
 
 
 def find_read_delay_s(rank: int) -> float:
