--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,8 +1,8 @@
 """Clients that leave their new connections while an entry stops.
 
 Readers keep their connections and send one safe request after another, and
-some requests are unsafe. The entry gets SIGTERM. Other clients open
-connections, leave at once by a reset, and repeat that.
+some requests are unsafe. The entry gets SIGTERM. Other clients send a request
+on a new connection, leave at once by a reset, and repeat that.
 """
 
 import asyncio
@@ -45,13 +45,14 @@
 
 
 class LeavingClients(threading.Thread):
-    """Clients that leave right after they have connected."""
+    """Clients that leave right after they have sent a safe request."""
 
     def __init__(self, ip):
         super().__init__(daemon=True)
         self.is_over = False
         self.connection_count = 0
         self._ip = ip
+        self._request_count = 0
 
     def run(self):
         """Open and leave connections until the entry refuses them."""
@@ -74,8 +75,11 @@
             client.setsockopt(
                 socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE
             )
+            self._request_count += 1
+            head = encode_request(f'left-{self._request_count}', '/read/x')
             try:
                 client.connect((self._ip, CALLER_PORT))
+                client.send(head)
             except OSError:
                 return
             self.connection_count += 1
--- a/review/stand_ins.py
+++ b/review/stand_ins.py
@@ -59,7 +59,7 @@
 cpu-cores = 1
 memory-mb = {memory_mb}
 max-fds = 4100
-bandwidth-mbps = 1000.0
+bandwidth-mbps = {link_mbps}
 disk-mb = 0
 [fault-tolerance]
 machines = 2
@@ -74,7 +74,7 @@
 drain-s = 2
 grace-s = 6
 loss-slack-s = 0.2
-config-apply-s = 2
+config-apply-s = {config_apply_s}
 rollback-slack-s = 0.25
 max-stretch-s = 5
 retry-budget-ratio = 0.2
@@ -441,9 +441,9 @@
 class Entry:
     """An entry process, started with the command of the deploy file."""
 
-    def __init__(self, ip, folder, store_address, seeds=(), memory_mb=300):
+    def __init__(self, ip, folder, store_address, seeds=(), **changes):
         self.ip = ip
-        self.memory_mb = memory_mb
+        self.memory_mb = 300
         self.process = None
         self._folder = Path(folder)
         self._settings = self._folder / f'{ip}.toml'
@@ -459,7 +459,9 @@
                 admin=ADMIN_PORT,
                 lookup=LOOKUP_PORT,
                 store=store_address,
-                memory_mb=memory_mb,
+                memory_mb=self.memory_mb,
+                link_mbps=changes.get('link_mbps', 1000.0),
+                config_apply_s=changes.get('config_apply_s', 2),
             )
         )
         self.log = self._folder / f'{ip}.log'
