--- a/review/stand_ins.py
+++ b/review/stand_ins.py
@@ -335,9 +335,14 @@
             'X-Response-Signature': f'{self.server_id}.{request_id}',
             'X-Backend-Load': load,
         }
-        writer.write(encode_answer(200, answer, f'ran {request_id}'.encode()))
+        body = self.find_body(request_id, target)
+        writer.write(encode_answer(200, answer, body))
         await writer.drain()
 
+    def find_body(self, request_id, target):
+        """Return the body of an answer."""
+        return f'ran {request_id} of {target}'.encode()
+
 
 def build_configuration(version=1, limits=None, **route_changes):
     """Return a configuration with one safe and one unsafe route."""
