--- a/review/stand_ins.py
+++ b/review/stand_ins.py
@@ -396,6 +396,39 @@
     }
 
 
+def build_large_configuration(version, service, more_routes, *, others=()):
+    """Return a configuration with many routes.
+
+    :param service: service of the routes `/read/` and `/write/`.
+    :param more_routes: further routes, all to the first service.
+    :param others: names of further services.
+    """
+    configuration = build_configuration(version, service=service)
+    resources = configuration['resources']
+    services = [it for it in resources if it['resource-kind'] == 'services']
+    resources.extend(
+        {**services[0], 'metadata': {'name': name}} for name in others
+    )
+    resources.extend(
+        {
+            'resource-kind': 'routes',
+            'metadata': {'name': f'r-{number:07}'},
+            'spec': {
+                'host': HOST,
+                'path-prefix': f'/more{number:04}/',
+                'type': 'safe',
+                'timeout-s': 1,
+                'target-latency-s': 0.25,
+                'priority': 1,
+                'service': SERVICE,
+                'max-attempts': 2,
+            },
+        }
+        for number in range(more_routes)
+    )
+    return configuration
+
+
 class Link:
     """A proxy in front of the store: the link of one machine.
 
