--- a/review/1/case.py
+++ b/review/1/case.py
@@ -29,6 +29,7 @@
     draw_loopback_ips,
     encode_request,
     read_answer,
+    run_case,
 )
 
 FOLDER = Path(__file__).resolve().parent
@@ -217,4 +218,4 @@
 
 
 if __name__ == '__main__':
-    sys.exit(asyncio.run(play()))
+    run_case(play)
--- a/review/stand_ins.py
+++ b/review/stand_ins.py
@@ -11,8 +11,10 @@
 import os
 import random
 import struct
+import sys
 import time
 import tomllib
+import traceback
 from pathlib import Path
 from urllib.parse import parse_qs, urlsplit
 
@@ -110,6 +112,20 @@
     return [f'{network}.{first + number}' for number in range(count)]
 
 
+def run_case(play):
+    """Play a case and exit with its status.
+
+    :param play: returns 1 if the rule was broken, 0 if it held, and 2 if the
+        case could not run.
+    """
+    try:
+        status = asyncio.run(play())
+    except Exception:
+        traceback.print_exc()
+        status = 2
+    sys.exit(status)
+
+
 class Record:
     """Writes what was sent, answered and run to ``record.txt``."""
 
