--- a/review/1/case.py
+++ b/review/1/case.py
@@ -94,7 +94,7 @@
         self.entry_ip, host = draw_loopback_ips(2)
         self.store = Store(host)
         self.backends = [
-            Backend(host, self.store, None, f'i-{number}')
+            Backend(host, self.store, record, f'i-{number}')
             for number in range(4)
         ]
         self.folder = folder
@@ -191,6 +191,7 @@
         head = encode_request(
             request_id, target, 'Content-Length: 0', method=method
         )
+        self.record.write(f'client sends {method} {request_id}')
         try:
             writer.write(head)
             status, headers, _ = await read_answer(reader)
@@ -199,8 +200,7 @@
             self.unanswered_ids.append(request_id)
             return False
         self.answered += 1
-        if status != 200:
-            self.record.write(f'{method} {request_id}: {status}')
+        self.record.write(f'client gets {status} for {request_id}')
         return headers.get('connection') != 'close'
 
 
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -58,7 +58,11 @@
         self.store = Store(host)
         self.backends = [
             Backend(
-                host, self.store, None, f'i-{service}-{number}', service=service
+                host,
+                self.store,
+                record,
+                f'i-{service}-{number}',
+                service=service,
             )
             for service in (SERVICE, OTHER_SERVICE)
             for number in range(2)
@@ -171,6 +175,7 @@
     async def exchange(self, request_id, ip):
         """Send one request on a connection of its own."""
         self.sent_at_by_id[request_id] = time.monotonic()
+        self.record.write(f'client sends {request_id}')
         try:
             reader, writer = await asyncio.open_connection(ip, CALLER_PORT)
         except OSError:
@@ -181,6 +186,7 @@
             )
             status, _, _ = await read_answer(reader)
             self.statuses_by_id[request_id] = status
+            self.record.write(f'client gets {status} for {request_id}')
         except CONNECTION_ERRORS as error:
             self.record.write(f'no answer for {request_id}: {error!r}')
         finally:
--- a/review/stand_ins.py
+++ b/review/stand_ins.py
@@ -10,6 +10,7 @@
 import json
 import os
 import random
+import signal
 import struct
 import sys
 import time
@@ -115,12 +116,15 @@
 def run_case(play):
     """Play a case and exit with its status.
 
+    SIGTERM ends the case and the processes that it has started.
+
     :param play: returns 1 if the rule was broken, 0 if it held, and 2 if the
         case could not run.
     """
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
     try:
         status = asyncio.run(play())
-    except Exception:
+    except (Exception, KeyboardInterrupt):
         traceback.print_exc()
         status = 2
     sys.exit(status)
