Add tenants, new bounds and server versions as interfaces of the next parts

Cause: configurations with tenants, public routes and downloads, and settings with bounds for keys, allowances and roll-outs, were not read at all; a download counted as a request that must not run twice.

Change: the configuration's tenants and public routes, the bounds of the settings, the memory limit and the version of a server's software are decoded; further kinds of datagrams can be registered; each request has a check right before it is sent.

Measured: no behaviour changes yet except that downloads are idempotent; the unit tests of the touched modules pass.

--- /dev/null
+++ b/copperyard/allowances/__init__.py
@@ -0,0 +1,1 @@
+"""Request rates of tenants, counted over all entries together."""
--- a/copperyard/dispatching.py
+++ b/copperyard/dispatching.py
@@ -462,7 +462,7 @@
         # The server may have started to drain, or asked for a pause, while the
         # connection was opened.
         now = self._board.clock()
-        if self._board.is_paused(server, now):
+        if self._board.is_paused(server, now) or not state.may_run():
             return False
         servers = self._board.list_servers(state.request.service, now)
         if not any(
--- a/copperyard/entry_peers.py
+++ b/copperyard/entry_peers.py
@@ -2,11 +2,11 @@
 
 import socket
 from collections import deque
-from collections.abc import Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from contextlib import AsyncExitStack
 from dataclasses import dataclass
 from random import Random
-from typing import Final
+from typing import Any, Final
 
 import anyio
 import msgspec
@@ -137,9 +137,11 @@
             self.view,
             settings.failure_domain,
             self._describe,
-            self._send_message,
+            self.send_message,
             random,
         )
+        # Handlers of further kinds of datagrams, which other parts register.
+        self.handlers_by_type: dict[type, Callable[[Any, float], None]] = {}
         self._board = board
         self._replica = replica
         self._random = random
@@ -157,6 +159,21 @@
             socket.SOCK_DGRAM | socket.SOCK_NONBLOCK | socket.SOCK_CLOEXEC,
         )
 
+    def send_message(self, ip: str, message: Datagram) -> None:
+        """Send a datagram to one entry.
+
+        :param ip: its IP address.
+        :param message: the datagram.
+        """
+        self._send(ip, encode_message(message))
+
+    def count_known(self) -> int:
+        """Return the number of entries that may be running, with this one.
+
+        Entries that are silent count until they are forgotten.
+        """
+        return len(self._board.entry_ips)
+
     @property
     def peers_by_ip(self) -> dict[str, EntryPeer]:
         """Return all known entries, also those that are down."""
@@ -481,6 +498,10 @@
                 self._gossip.handle_heard(message, now)
             case Goodbye(ip=ip):
                 self._gossip.handle_goodbye(ip, now)
+            case _:
+                handler = self.handlers_by_type.get(message.__class__)
+                if handler is not None:
+                    handler(message, now)
 
     def _handle_server_update(self, update: ServerUpdate, now: float) -> None:
         self._board.metrics.count('news.received')
@@ -586,9 +607,6 @@
         if ips != self._board.entry_ips:
             self._board.entry_ips = ips
 
-    def _send_message(self, ip: str, message: Datagram) -> None:
-        self._send(ip, encode_message(message))
-
     def _send(self, ip: str, content: bytes) -> None:
         self._board.metrics.count('datagram.sent')
         try:
--- a/copperyard/entry_settings.py
+++ b/copperyard/entry_settings.py
@@ -3,6 +3,49 @@
 from dataclasses import dataclass
 
 
+@dataclass(frozen=True, slots=True)
+class QuotaBounds:
+    """How far tenants may exceed their allowances, over all entries.
+
+    :param window_s: length of the window over which requests are counted, in
+        seconds.
+    :param overage: excess over the allowance, as a share of it.
+    :param slack: requests on top of that per window.
+    """
+
+    window_s: float
+    overage: float
+    slack: float
+
+
+@dataclass(frozen=True, slots=True)
+class RolloutBounds:
+    """Limits on what a new version of a service may receive.
+
+    :param canary_share: share of the service's requests that a version may
+        get before it is known to be good.
+    :param canary_slack: requests on top of that.
+    :param rollback_s: time in seconds after which a version that has given a
+        number of bad answers gets no requests any more.
+    """
+
+    canary_share: float
+    canary_slack: float
+    rollback_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class EntryCapacity:
+    """What an entry VM can process.
+
+    :param cores: processor cores, with fractions.
+    :param bandwidth_mbps: bandwidth of its link in Mbit/s.
+    """
+
+    cores: float
+    bandwidth_mbps: float
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class EntryBounds:
     """Limits that the platform sets for all entries.
@@ -15,6 +58,10 @@
         counted, in seconds.
     :param lookup_ttl_max_s: longest time in seconds for which a caller may
         cache the response to a lookup.
+    :param revocation_s: time in seconds after which no request with a revoked
+        API key may run at any entry; ``None`` for no such limit.
+    :param quota: bounds on the allowances of tenants, if there are any.
+    :param rollout: bounds on new versions, if there are any.
     """
 
     grace_s: float
@@ -22,6 +69,9 @@
     retry_slack: float
     retry_window_s: float
     lookup_ttl_max_s: float
+    revocation_s: float | None = None
+    quota: QuotaBounds | None = None
+    rollout: RolloutBounds | None = None
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -41,6 +91,8 @@
     :param store_address: ``ip:port`` of the metadata store.
     :param max_descriptors: number of file descriptors available for sockets.
     :param bounds: limits that the platform sets for all entries.
+    :param memory_bytes: memory that the process may use; ``None`` if unknown.
+    :param capacity: what this VM can process; ``None`` if unknown.
     """
 
     entry_id: str
@@ -54,3 +106,5 @@
     store_address: str
     max_descriptors: int
     bounds: EntryBounds
+    memory_bytes: int | None = None
+    capacity: EntryCapacity | None = None
--- a/copperyard/forwarded_requests.py
+++ b/copperyard/forwarded_requests.py
@@ -14,6 +14,7 @@
     REQUEST_ID_HEADER,
 )
 from copperyard.server_table import NAME_LENGTH_MAX
+from copperyard.tenants.tenant_table import KEY_DIGEST_BYTES
 
 # The id and the deadline travel under copperyard's own header names, because
 # those of the caller belong to its request.
@@ -44,6 +45,8 @@
     :param priority: priority of the route; 0 is the highest.
     :param caller_ip: IP address of the caller.
     :param is_counted: whether the retry budget of the first entry counts it.
+    :param key_digest: digest of the API key that it was sent with; empty if it
+        needs none.
     """
 
     service: _Name
@@ -54,6 +57,9 @@
     priority: int
     caller_ip: _Name
     is_counted: bool
+    key_digest: Annotated[bytes, msgspec.Meta(max_length=KEY_DIGEST_BYTES)] = (
+        b''
+    )
 
 
 class OutcomeKind(StrEnum):
--- /dev/null
+++ b/copperyard/memory/__init__.py
@@ -0,0 +1,1 @@
+"""Memory that a process holds for callers and backend servers."""
--- a/copperyard/message_formats.py
+++ b/copperyard/message_formats.py
@@ -14,7 +14,7 @@
 # Version of the package, see ``pyproject.toml``.
 BUILD_VERSION: Final = '0.2.0'
 # Raised with each change of a message's form. Heartbeats of 0 do not tell it.
-FORMATS_VERSION: Final = 2
+FORMATS_VERSION: Final = 3
 # Oldest version whose messages this build reads, and which its own can be read
 # by.
 OLDEST_FORMATS_VERSION: Final = 0
--- a/copperyard/platform/operator_records.py
+++ b/copperyard/platform/operator_records.py
@@ -12,13 +12,19 @@
     ServiceConfig,
     WeightedService,
 )
+from copperyard.tenants.tenant_table import (
+    Tenant,
+    TenantKeys,
+    TenantTable,
+    digest_key,
+)
 
 CONFIGURATION_KEY: Final = 'config'
 # A record under this prefix takes a failure domain out of service until it is
 # deleted.
 EVACUATION_PREFIX: Final = 'evacuate/'
 
-_IDEMPOTENT: Final = 'safe'
+_IDEMPOTENT: Final = frozenset(('safe', 'download'))
 _VERSION_PATTERN: Final = re.compile('[0-9a-fA-F]{8}')
 # Health paths are sent in request lines.
 _PATH_PATTERN: Final = r'\A/[!-~]*\Z'
@@ -44,7 +50,6 @@
 class _RouteSpec(msgspec.Struct, frozen=True, rename='kebab'):
     host: str
     path_prefix: str
-    # "safe" if requests are idempotent.
     type: str
     timeout_s: _Seconds
     target_latency_s: Annotated[
@@ -54,6 +59,7 @@
     max_attempts: _Count = 1
     service: str = ''
     traffic_split: tuple[_SplitPart, ...] = ()
+    public: bool = False
 
 
 class _ServiceSpec(msgspec.Struct, frozen=True, rename='kebab'):
@@ -63,6 +69,13 @@
     warmup_per_s: _Ratio = 0.0
 
 
+class _TenantSpec(msgspec.Struct, frozen=True, rename='kebab'):
+    api_keys: tuple[str, ...] = ()
+    priority: _Count | None = None
+    rate_per_s: _Ratio = 0.0
+    burst: _Ratio = 0.0
+
+
 class _LimitsSpec(msgspec.Struct, frozen=True, rename='kebab'):
     max_header_bytes: _Count
     max_body_bytes: _Count
@@ -99,6 +112,7 @@
 def _build_route_table(configuration: _Configuration) -> RouteTable:
     routes = []
     services = []
+    tenants = []
     limits = RequestLimits()
     for resource in configuration.resources:
         match resource.resource_kind:
@@ -106,12 +120,16 @@
                 routes.append(_build_route(resource))
             case 'services':
                 services.append(_build_service(resource))
+            case 'tenants':
+                tenants.append(_build_tenant(resource))
             case 'limits':
                 limits = _build_limits(resource)
     version = configuration.config_version
     if not _VERSION_PATTERN.fullmatch(version):
         raise ValueError(f'invalid version {version!r}')
-    return RouteTable(int(version, 16), routes, services, limits)
+    return RouteTable(
+        int(version, 16), routes, services, limits, TenantTable(tenants)
+    )
 
 
 def _build_route(resource: _Resource) -> Route:
@@ -126,12 +144,13 @@
         name=resource.metadata.name,
         host=spec.host.lower(),
         prefix=spec.path_prefix,
-        is_idempotent=spec.type == _IDEMPOTENT,
+        is_idempotent=spec.type in _IDEMPOTENT,
         timeout_s=spec.timeout_s,
         target_latency_s=spec.target_latency_s,
         max_attempts=spec.max_attempts,
         priority=spec.priority,
         parts=parts or (WeightedService(spec.service, 1.0),),
+        is_public=spec.public,
     )
 
 
@@ -145,6 +164,16 @@
     )
 
 
+def _build_tenant(resource: _Resource) -> TenantKeys:
+    spec = msgspec.json.decode(resource.spec, type=_TenantSpec)
+    tenant = Tenant(
+        resource.metadata.name, spec.priority, spec.rate_per_s, spec.burst
+    )
+    return TenantKeys(
+        tenant, tuple(digest_key(key.encode()) for key in spec.api_keys)
+    )
+
+
 def _build_limits(resource: _Resource) -> RequestLimits:
     spec = msgspec.json.decode(resource.spec, type=_LimitsSpec)
     return RequestLimits(
--- a/copperyard/platform/server_registrations.py
+++ b/copperyard/platform/server_registrations.py
@@ -19,10 +19,12 @@
 _STATES: Final = frozenset(('ready', _DRAINING))
 
 
-class _ServerInfo(msgspec.Struct, frozen=True):
+class _ServerInfo(msgspec.Struct, frozen=True, rename='kebab'):
     service: Name
     zone: Name
     capacity: Slots
+    # Version of the server's software, not of a configuration.
+    config_version: Name = ''
 
 
 class _ServerStatus(msgspec.Struct, frozen=True, rename='kebab'):
@@ -70,6 +72,7 @@
         started_ms=registration.born,
         sequence=registration.status.sequence,
         offset=offset,
+        version=registration.info.config_version,
     )
     is_valid = registration.status.state in _STATES
     if is_valid and is_addressable(report):
--- a/copperyard/platform/settings.py
+++ b/copperyard/platform/settings.py
@@ -2,14 +2,20 @@
 
 import tomllib
 from pathlib import Path
-from typing import Annotated, Any, Final, TypeVar, cast
+from typing import Annotated, Any, Final
 
 import msgspec
 from returns.result import Failure, Result, Success
 
-from copperyard.entry_settings import EntryBounds, EntrySettings
+from copperyard.entry_settings import (
+    EntryBounds,
+    EntryCapacity,
+    EntrySettings,
+    QuotaBounds,
+    RolloutBounds,
+)
 from copperyard.exceptions import SettingsError
-from copperyard.settings import is_address, is_ipv4
+from copperyard.settings_fields import FieldReader
 
 SETTINGS_VARIABLE: Final = 'COPPERYARD_CONFIG'
 
@@ -17,64 +23,16 @@
 _FILE_DESCRIPTORS: Final = 200
 _DESCRIPTORS_MAX: Final = 2**31 - 1
 _BOUND_MAX: Final = 1_000_000_000
+_MEGABYTE: Final = 1_000_000
 # Retries are counted in parts of the window.
 _WINDOW_MIN_S: Final = 0.001
 
 _Port = Annotated[int, msgspec.Meta(ge=1, le=2**16 - 1)]
 _Descriptors = Annotated[int, msgspec.Meta(ge=1, le=_DESCRIPTORS_MAX)]
 _Bound = Annotated[float, msgspec.Meta(ge=0, le=_BOUND_MAX)]
+_Memory = Annotated[float, msgspec.Meta(gt=0, le=_BOUND_MAX)]
 _Window = Annotated[float, msgspec.Meta(ge=_WINDOW_MIN_S, le=_BOUND_MAX)]
 
-# Longest part of an invalid value in an error message.
-_DESCRIPTION_LENGTH_MAX: Final = 100
-
-_Value = TypeVar('_Value')
-
-
-class _FieldReader:
-    """Reads single fields and keeps the first error."""
-
-    def __init__(self, raw: dict[str, Any]) -> None:
-        self.error: SettingsError | None = None
-        self._raw = raw
-
-    def read(self, path: str, value_type: Any, default: _Value) -> _Value:
-        found: Any = self._raw
-        for key in path.split('.'):
-            found = found.get(key) if isinstance(found, dict) else None
-        try:
-            return cast(_Value, msgspec.convert(found, value_type))
-        except msgspec.ValidationError as error:
-            expected = str(error).partition(', got ')[0].replace('`', '')
-            self._keep_error(path, expected, found)
-            return default
-
-    def read_ip(self, path: str) -> str:
-        ip = self.read(path, str, '')
-        if not is_ipv4(ip):
-            self._keep_error(path, 'IPv4 address', ip)
-        return ip
-
-    def read_address(self, path: str) -> str:
-        address = self.read(path, str, '')
-        if not is_address(address):
-            self._keep_error(path, 'ip:port', address)
-        return address
-
-    def _keep_error(self, path: str, expected: str, found: object) -> None:
-        if self.error is None:
-            self.error = SettingsError(
-                path, expected.removeprefix('Expected '), _describe(found)
-            )
-
-
-def _describe(found: object) -> str:
-    try:
-        return repr(found)[:_DESCRIPTION_LENGTH_MAX]
-    except ValueError:
-        # Integers of thousands of digits cannot be converted to decimal.
-        return type(found).__name__
-
 
 def load_entry_settings(path: Path) -> Result[EntrySettings, SettingsError]:
     """Read and decode a settings file.
@@ -101,7 +59,7 @@
     :param raw: the parsed TOML.
     :returns: the settings, or the error in the first invalid field.
     """
-    reader = _FieldReader(raw)
+    reader = FieldReader(raw)
     settings = EntrySettings(
         entry_id=reader.read('node-name', str, ''),
         ip=reader.read_ip('ip'),
@@ -130,18 +88,20 @@
             reader.read('limits.max-fds', _Descriptors, 0) - _FILE_DESCRIPTORS
         ),
         bounds=_read_bounds(reader),
+        memory_bytes=_read_memory_bytes(reader),
+        capacity=_read_capacity(reader),
     )
     if reader.error is not None:
         return Failure(reader.error)
     return Success(settings)
 
 
-def _read_seeds(reader: _FieldReader) -> list[str]:
+def _read_seeds(reader: FieldReader) -> list[str]:
     seeds: list[str] = reader.read('seeds', list[str], [])
     return seeds
 
 
-def _read_bounds(reader: _FieldReader) -> EntryBounds:
+def _read_bounds(reader: FieldReader) -> EntryBounds:
     return EntryBounds(
         grace_s=reader.read('bounds.grace-s', _Bound, 0.0),
         retry_ratio=reader.read('bounds.retry-budget-ratio', _Bound, 0.0),
@@ -149,4 +109,49 @@
         retry_slack=reader.read('bounds.budget-slack', _Bound, 0.0),
         retry_window_s=reader.read('bounds.budget-window-s', _Window, 0.0),
         lookup_ttl_max_s=reader.read('bounds.ttl_max_s', _Bound, 0.0),
+        revocation_s=_read_revocation_s(reader),
+        quota=_read_quota(reader),
+        rollout=_read_rollout(reader),
+    )
+
+
+def _read_revocation_s(reader: FieldReader) -> float | None:
+    if not reader.read('bounds.revoke-fail-closed', bool | None, None):
+        return None
+    return reader.read('bounds.revoke-s', _Bound, 0.0)
+
+
+def _read_quota(reader: FieldReader) -> QuotaBounds | None:
+    if not reader.has('bounds.quota-window-s'):
+        return None
+    return QuotaBounds(
+        reader.read('bounds.quota-window-s', _Window, 0.0),
+        reader.read('bounds.quota-overage', _Bound, 0.0),
+        reader.read('bounds.quota-slack', _Bound, 0.0),
+    )
+
+
+def _read_rollout(reader: FieldReader) -> RolloutBounds | None:
+    if not reader.has('bounds.canary-share'):
+        return None
+    return RolloutBounds(
+        reader.read('bounds.canary-share', _Bound, 0.0),
+        reader.read('bounds.canary-slack', _Bound, 0.0),
+        reader.read('bounds.rollback-s', _Bound, 0.0),
+    )
+
+
+def _read_memory_bytes(reader: FieldReader) -> int | None:
+    if not reader.has('limits.memory-mb'):
+        return None
+    return int(reader.read('limits.memory-mb', _Memory, 1) * _MEGABYTE)
+
+
+def _read_capacity(reader: FieldReader) -> EntryCapacity | None:
+    if not reader.has('limits.cpu-fraction'):
+        return None
+    return EntryCapacity(
+        reader.read('limits.cpu-fraction', _Bound, 1.0)
+        * reader.read('limits.cpu-cores', _Bound, 1.0),
+        reader.read('limits.bandwidth-mbps', _Bound, 0.0),
     )
--- a/copperyard/platform/store.py
+++ b/copperyard/platform/store.py
@@ -1,8 +1,7 @@
 """Client of the platform's metadata store."""
 
 import json
-import struct
-from collections.abc import Iterator, Mapping
+from collections.abc import Mapping
 from functools import partial
 from typing import Any, Final
 from urllib.parse import urlencode
@@ -44,6 +43,13 @@
 from copperyard.server_table import Offset, ServerChange, ServerGone
 from copperyard.store_eras import StoreEras
 from copperyard.store_pages import read_pages
+from copperyard.stored_records import (
+    OFFSETS,
+    StoredRecord,
+    convert_record,
+    encode_record,
+    parse_records,
+)
 from copperyard.turns import take_turns
 
 # A slow store takes 60 times its usual 4 ms, and the slowest link takes 2.2 s
@@ -57,28 +63,13 @@
 _SERVERS_TOPIC: Final = 'keyed.servers'
 # Topics that begin with "keyed." retain the newest record of each key.
 _ENTRIES_TOPIC: Final = 'keyed.entries'
-# The response to a read begins with the end and the first offset of the topic.
-# Each record is preceded by its length; it consists of the length of its key in
-# one byte, the key, and the value.
-_OFFSETS: Final = struct.Struct('>QQ')
-_LENGTH: Final = struct.Struct('>I')
-# Replaces a value that cannot be read; no valid value is equal to it.
-_UNREADABLE: Final = b'\xff'
 # Replaces the bytes of a key that are not valid UTF-8.
 _REPLACEMENT: Final = '\ufffd'
 
 
-class _StoredRecord(msgspec.Struct, frozen=True):
-    # Empty if it cannot be read.
-    key: str
-    offset: Offset
-    # Base64 in JSON; absent for a deleted key.
-    value: bytes = b''
-
-
 class _Page(msgspec.Struct, frozen=True, rename='kebab'):
     # The records; the field has the same name in the responses to other calls.
-    items: tuple[_StoredRecord, ...]
+    items: tuple[StoredRecord, ...]
     end_offset: Offset
     has_more: bool = False
     # Told in a header.
@@ -196,11 +187,9 @@
     async def _append_entry(
         self, ip: str, value: bytes
     ) -> StoreUnavailable | None:
-        key = ip.encode()
-        record = bytes((len(key),)) + key + value
         response = await self._fetch(
             _build_target('append', _ENTRIES_TOPIC, {}),
-            _LENGTH.pack(len(record)) + record,
+            encode_record(ip, value),
         )
         return response if isinstance(response, StoreUnavailable) else None
 
@@ -252,10 +241,10 @@
         If it is cut off, its complete records count; the next read begins
         after them.
         """
-        records: list[_StoredRecord] = []
-        end = _OFFSETS.size
+        records: list[StoredRecord] = []
+        end = OFFSETS.size
         async for record, record_end in take_turns(
-            _parse_records(response.body, start)
+            parse_records(response.body, start)
         ):
             records.append(record)
             end = record_end
@@ -264,7 +253,7 @@
             log_event('store_response_cut_off', records=len(records))
             if not records:
                 return StoreUnavailable('response is cut off')
-        log_end, _ = _OFFSETS.unpack_from(response.body)
+        log_end, _ = OFFSETS.unpack_from(response.body)
         read_end = start + len(records)
         return _Page(
             tuple(records),
@@ -351,44 +340,8 @@
     except (ValueError, RecursionError) as error:
         return StoreUnavailable(f'damaged page: {error}')
     return _Page(
-        tuple(_convert_record(item) for item in page.items),
+        tuple(convert_record(item) for item in page.items),
         page.end_offset,
         page.has_more,
         response.era,
     )
-
-
-def _convert_record(raw: Any) -> _StoredRecord:
-    try:
-        record = msgspec.convert(raw, _StoredRecord)
-    except msgspec.ValidationError:
-        key = raw.get('key') if isinstance(raw, dict) else None
-        record = _StoredRecord(
-            key if isinstance(key, str) else '', 0, _UNREADABLE
-        )
-    # JSON may contain lone surrogates, which UTF-8 cannot encode.
-    key = record.key.encode('utf-16', 'surrogatepass')
-    return msgspec.structs.replace(record, key=key.decode('utf-16', 'replace'))
-
-
-def _parse_records(
-    body: bytes, offset: int
-) -> Iterator[tuple[_StoredRecord, int]]:
-    """Yield the complete records of a response, and the end of each."""
-    position = _OFFSETS.size
-    while position < len(body):
-        start = position + _LENGTH.size
-        end = start + int.from_bytes(body[position:start])
-        if max(start, end) > len(body):
-            break
-        yield _parse_record(body[start:end], offset), end
-        offset += 1
-        position = end
-
-
-def _parse_record(record: bytes, offset: int) -> _StoredRecord:
-    key_end = 1 + record[0] if record else 0
-    if key_end > len(record):
-        return _StoredRecord('', offset, record)
-    key = record[1:key_end].decode('utf-8', 'replace')
-    return _StoredRecord(key, offset, record[key_end:])
--- a/copperyard/request_states.py
+++ b/copperyard/request_states.py
@@ -1,5 +1,6 @@
 """The state of a request of a caller while it is dispatched."""
 
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from functools import cached_property
 from typing import TypeAlias
@@ -18,10 +19,15 @@
 )
 from copperyard.requests import CallerRequest
 from copperyard.routes import Route
+from copperyard.tenants.tenant_table import Tenant
 
 DispatchOutcome: TypeAlias = Answered | StreamedResponse | NotRun | Unknown
 
 
+def _always() -> bool:
+    return True
+
+
 @dataclass(kw_only=True)
 class RequestState:
     """A request and the progress of its attempts.
@@ -45,6 +51,11 @@
     :param is_forwarded: whether another entry has forwarded the request; it
         is not forwarded once more.
     :param is_counted: whether a retry budget counts the request.
+    :param tenant: the tenant that sent it; ``None`` where there are none, and
+        for public routes.
+    :param key_digest: digest of the API key that it was sent with.
+    :param may_run: called right before each attempt is sent; returns whether
+        the request may still run.
     """
 
     request: CallerRequest
@@ -61,6 +72,9 @@
     failed_connections: int = 0
     is_forwarded: bool = False
     is_counted: bool = False
+    tenant: Tenant | None = None
+    key_digest: bytes = b''
+    may_run: Callable[[], bool] = _always
 
     @cached_property
     def fingerprints(self) -> RequestFingerprints:
--- a/copperyard/routes.py
+++ b/copperyard/routes.py
@@ -7,6 +7,8 @@
 from itertools import accumulate
 from typing import Final
 
+from copperyard.tenants.tenant_table import TenantTable
+
 # Bytes of the digest that draws the service of a request.
 DRAW_BYTES: Final = 8
 
@@ -38,6 +40,7 @@
         be sent to.
     :param priority: priority of the requests; 0 is the highest.
     :param parts: services that the requests are divided among.
+    :param is_public: whether requests need no API key where there are tenants.
     """
 
     name: str
@@ -49,6 +52,7 @@
     max_attempts: int
     priority: int
     parts: tuple[WeightedService, ...]
+    is_public: bool = False
 
     def choose_service(self, request_id: str) -> str:
         """Choose the service of a request, in proportion to the weights.
@@ -118,6 +122,7 @@
     :param routes: all routes.
     :param services: all services.
     :param limits: limits on requests.
+    :param tenants: the tenants and their keys.
     """
 
     def __init__(
@@ -126,8 +131,10 @@
         routes: Iterable[Route],
         services: Iterable[ServiceConfig],
         limits: RequestLimits,
+        tenants: TenantTable | None = None,
     ) -> None:
         self.version = version
+        self.tenants = tenants or TenantTable()
         self.limits = limits
         self.services_by_name: Mapping[str, ServiceConfig] = {
             service.name: service for service in services
--- a/copperyard/server_table.py
+++ b/copperyard/server_table.py
@@ -73,6 +73,7 @@
         clock; orders its incarnations.
     :param sequence: number of the report within one incarnation.
     :param offset: offset of the report in the log.
+    :param version: version of the server's software; empty if unknown.
     """
 
     server_id: str
@@ -85,6 +86,7 @@
     started_ms: Number
     sequence: Number
     offset: Offset
+    version: Name = ''
 
 
 class ServerGone(msgspec.Struct, frozen=True, array_like=True, tag='gone'):
--- /dev/null
+++ b/copperyard/spillover/__init__.py
@@ -0,0 +1,1 @@
+"""Requests that leave their failure domain, and how many."""
--- /dev/null
+++ b/copperyard/subsets/__init__.py
@@ -0,0 +1,1 @@
+"""Which backend servers of a service an entry uses."""
--- /dev/null
+++ b/copperyard/tenants/__init__.py
@@ -0,0 +1,1 @@
+"""Tenants, their API keys, and who may send requests with them."""
--- a/tests/test_boundary.py
+++ b/tests/test_boundary.py
@@ -20,8 +20,8 @@
 
 @pytest.mark.parametrize(
     'path',
-    sorted(_PACKAGE.glob('*.py')),
-    ids=lambda path: path.name,
+    sorted(path for path in _PACKAGE.rglob('*.py') if path.parent != _ADAPTER),
+    ids=lambda path: str(path.relative_to(_PACKAGE)),
 )
 def test_platform_names_stay_in_the_adapter(path):
     """Guards against modules that depend on names of the platform.
--- a/tests/test_platform_records.py
+++ b/tests/test_platform_records.py
@@ -147,6 +147,7 @@
         started_ms=1700000000000,
         sequence=4,
         offset=7,
+        version='v1',
     )
     assert decode_server_registration('s1', b'', 7) == ServerGone('s1', 7)
     assert not is_invalid('s1', b'')
