Check API keys when requests arrive and before each send

Cause: configurations can name tenants with API keys, which no entry checked; the keys reached the servers.

Change: RequestAdmission decides in steps whether a caller's request may be dispatched (route, key, state), and KeyChecker answers 401 without a valid key and 503 when the configuration data is too old to know of removed keys. The key and a caller's own X-Tenant are dropped, the tenant's priority replaces the route's, and may_run repeats the check before each send, also at the entry that a request is forwarded to. A denied request ends without further attempts. Requests with keys are not forwarded to builds that would not check them. Parsers of load headers move out of the platform folder.

--- a/copperyard/caller_responses.py
+++ b/copperyard/caller_responses.py
@@ -16,6 +16,7 @@
 _REFUSAL_STATUS: Final = 503
 _STATUSES_BY_REASON: Final = {
     RefusalReason.BAD_REQUEST: 400,
+    RefusalReason.UNAUTHENTICATED: 401,
     RefusalReason.UNKNOWN_SERVICE: 404,
     RefusalReason.BODY_TOO_LARGE: 413,
     RefusalReason.HEAD_TOO_LARGE: 431,
@@ -26,6 +27,7 @@
 _PHRASES_BY_STATUS: Final = {
     200: b'OK',
     400: b'Bad Request',
+    401: b'Unauthorized',
     404: b'Not Found',
     408: b'Request Timeout',
     413: b'Content Too Large',
--- a/copperyard/dispatching.py
+++ b/copperyard/dispatching.py
@@ -23,7 +23,6 @@
 from copperyard.crash_checks import BrokenRequest
 from copperyard.entry_board import EntryBoard
 from copperyard.exchanges import BackendPool, ForwardResult, StreamedResponse
-from copperyard.http_codec import encode_request
 from copperyard.load_probing import build_server_address
 from copperyard.load_reports import (
     record_leaving,
@@ -50,8 +49,12 @@
 from copperyard.platform import PLATFORM_DIALECT
 from copperyard.quarantines import find_quarantine_refusal
 from copperyard.request_states import DispatchOutcome, RequestState
-from copperyard.requests import CallerRequest
 from copperyard.routes import Route
+from copperyard.send_checks import (
+    check_then_discard,
+    is_encodable,
+    record_forward,
+)
 from copperyard.server_table import KnownServer
 
 # Share of the target latency after which a request is hedged; noisy neighbours
@@ -197,7 +200,10 @@
             is_unreached
             and not state.is_forwarded
             and self._forwarder is not None
-            and self._forwarder.find_entry(service) is not None
+            and self._forwarder.find_entry(
+                service, has_key=bool(state.key_digest)
+            )
+            is not None
         )
 
     async def _forward(
@@ -210,7 +216,7 @@
         attempts_left = state.route.max_attempts - state.attempts + 1
         state.attempts += attempts_left - 1
         result = await forwarder.forward(
-            state, attempts_left, partial(_record_forward, state, unsent_retry)
+            state, attempts_left, partial(record_forward, state, unsent_retry)
         )
         state.attempts += result.sends - attempts_left
         match result.outcome:
@@ -300,6 +306,8 @@
         now = self._board.clock()
         if state.deadline - now < TIME_LEFT_MIN_S:
             return False
+        if state.denial or not state.may_run():
+            return False
         if self._is_quarantined(state, now):
             return False
         if reason is not None and not self._may_retry(
@@ -398,7 +406,7 @@
             attempt = replace(
                 attempt,
                 may_send=partial(
-                    _check_then_discard, attempt.may_send, scopes, scope
+                    check_then_discard, attempt.may_send, scopes, scope
                 ),
             )
         result: ForwardResult | None = None
@@ -620,7 +628,7 @@
     def _build_refusal(
         self, state: RequestState, failure: AttemptFailure
     ) -> NotRun:
-        if failure.kind is FailureKind.INVALID and not _is_encodable(
+        if failure.kind is FailureKind.INVALID and not is_encodable(
             state.request
         ):
             return NotRun(RefusalReason.BAD_REQUEST, detail=failure.detail)
@@ -687,33 +695,6 @@
                 return state.failure
 
 
-def _record_forward(state: RequestState, unsent_retry: ExitStack) -> bool:
-    """Count a request as sent; permit it to be sent."""
-    state.possible_runs += 1
-    unsent_retry.pop_all()
-    return True
-
-
-def _check_then_discard(
-    check: Callable[[], bool],
-    scopes: set[anyio.CancelScope],
-    scope: anyio.CancelScope,
-) -> bool:
-    """Keep a request that is about to be sent from being given up."""
-    if not check():
-        return False
-    scopes.discard(scope)
-    return True
-
-
-def _is_encodable(request: CallerRequest) -> bool:
-    """Return whether a request is valid without the headers for a server."""
-    encoded = encode_request(
-        request.method, request.target, request.headers, b''
-    )
-    return encoded is not None
-
-
 @contextmanager
 def _closed_on_error(result: ForwardResult) -> Iterator[None]:
     with ExitStack() as stack:
--- a/copperyard/entry.py
+++ b/copperyard/entry.py
@@ -108,10 +108,11 @@
             )
             group.start_soon(self._handle_signals, signals)
             dispatcher = self._build_dispatcher(group)
-            await self._listen(
-                group,
-                EntryApi(self.board, dispatcher, self._peers, self._replica),
+            api = EntryApi(self.board, dispatcher, self._peers, self._replica)
+            group.start_soon(
+                run_controller, api.keys.run, 'keys', self.board.metrics
             )
+            await self._listen(group, api)
             poller = self._start_controllers(group)
             log_build()
             log_event('started', entry=settings.entry_id)
--- a/copperyard/entry_api.py
+++ b/copperyard/entry_api.py
@@ -1,6 +1,5 @@
 """HTTP handlers for callers, the platform and other entries."""
 
-import re
 from dataclasses import replace
 from typing import Final
 
@@ -14,7 +13,6 @@
 from copperyard.entry_peers import EntryPeers
 from copperyard.fault_barriers import FaultBarrier
 from copperyard.forwarded_serving import ForwardedRequestServer
-from copperyard.http_calls import build_request
 from copperyard.logs import log_event
 from copperyard.metrics_text import (
     CONTENT_TYPE,
@@ -23,22 +21,23 @@
 )
 from copperyard.outcomes import Answered, NotRun, RefusalReason, Unknown
 from copperyard.platform import (
-    DEADLINE_MS,
     LOOKUP_PATH,
     READINESS_PATH,
     REQUEST_ID,
     encode_lookup,
     read_caller_domain,
 )
+from copperyard.request_admission import RequestAdmission
 from copperyard.request_states import DispatchOutcome, RequestState
-from copperyard.requests import FORWARDED_HEADER, HOP_BY_HOP_HEADERS
-from copperyard.routes import RequestLimits, Route
+from copperyard.requests import FORWARDED_HEADER
+from copperyard.routes import RequestLimits
 from copperyard.snapshot_coding import encode_body
 from copperyard.store_poller import (
     OPERATOR_SNAPSHOT_PATH,
     SNAPSHOT_PATH,
 )
 from copperyard.store_replica import StoreReplica
+from copperyard.tenants.key_checker import KeyChecker
 
 # Longest time for which callers may cache a lookup. A shorter time causes more
 # lookups; with a longer one, callers use the address of a stopped entry longer.
@@ -48,8 +47,6 @@
 # With fewer ready entries in the caller's failure domain, a lookup returns the
 # entries of all failure domains.
 LOCAL_ENTRIES_MIN: Final = 2
-# An entry that has just started receives the configuration soon.
-NOT_READY_RETRY_AFTER_S: Final = 0.2
 # Another entry can serve the request at once.
 LEAVING_RETRY_AFTER_S: Final = 0.02
 # Size of the headers that entries add to a request they forward.
@@ -58,17 +55,10 @@
 ENTRY_BODY_MAX_BYTES: Final = 16 * 1024 * 1024
 # Longer than the pool of the other entry keeps an idle connection.
 ENTRY_IDLE_TIMEOUT_S: Final = 30.0
-# Time reserved for the response to reach the caller before the deadline.
-RESPONSE_MARGIN_S: Final = 0.01
 
 _JSON: Final = ((b'content-type', b'application/json'),)
 _NOT_FOUND: Final = 404
 _UNAVAILABLE: Final = 503
-# Unlike `float`, it matches no NaN, no infinity and no negative number.
-_DECIMAL_NUMBER: Final = re.compile(
-    rb'[0-9]+(?:\.[0-9]+)?(?:e[+-]?[0-9]+)?', re.IGNORECASE
-)
-_STRIPPED_HEADERS: Final = HOP_BY_HOP_HEADERS | {DEADLINE_MS, REQUEST_ID}
 
 
 class EntryApi:
@@ -78,6 +68,7 @@
     :param dispatcher: sends requests to backend servers.
     :param peers: the other entries, for lookups.
     :param replica: state read from the store, for snapshots.
+    :ivar keys: checks the API keys of requests.
     """
 
     def __init__(
@@ -91,7 +82,11 @@
         self._dispatcher = dispatcher
         self._peers = peers
         self._replica = replica
-        self._forwarded_server = ForwardedRequestServer(board, dispatcher)
+        self.keys = KeyChecker(board, replica)
+        self._admission = RequestAdmission(board, self.keys)
+        self._forwarded_server = ForwardedRequestServer(
+            board, dispatcher, self.keys
+        )
 
     def find_entry_limits(self) -> RequestLimits:
         """Return the limits on requests of other entries.
@@ -118,27 +113,14 @@
 
         :param received: the request.
         """
-        headers_by_name = dict(received.headers)
-        path = received.target.partition(b'?')[0].decode('latin-1')
-        host_parts = headers_by_name[b'host'].decode('latin-1').rpartition(':')
-        routes = self._board.routes
-        if routes is None or not self._board.has_servers:
-            return self._refuse(
-                headers_by_name,
-                NotRun(RefusalReason.NOT_READY, NOT_READY_RETRY_AFTER_S),
-            )
-        host = (host_parts[0] or host_parts[2]).lower()
-        route = routes.find(host, path)
-        if route is None:
-            return self._refuse(
-                headers_by_name, NotRun(RefusalReason.UNKNOWN_SERVICE)
-            )
-        left_s = _read_left_s(headers_by_name.get(DEADLINE_MS), route.timeout_s)
-        if left_s is None or not _has_unique_headers(received):
-            return self._refuse(
-                headers_by_name, NotRun(RefusalReason.BAD_REQUEST)
-            )
-        return await self._run(received, headers_by_name, route, left_s)
+        state = await self._admission.admit(received)
+        if isinstance(state, NotRun):
+            return self._refuse(dict(received.headers), state)
+        received.is_dispatched = True
+        outcome = await self._dispatch(state)
+        took_s = self._board.clock() - received.received_at
+        self._record_outcome(state, outcome, took_s)
+        return build_response(outcome)
 
     def record_refusal(self, reason: RefusalReason) -> None:
         """Count and log a request that was refused before it was complete.
@@ -217,39 +199,6 @@
         )
         return build_response(refusal)
 
-    async def _run(
-        self,
-        received: ReceivedRequest,
-        headers_by_name: dict[bytes, bytes],
-        route: Route,
-        left_s: float,
-    ) -> CallerResponse:
-        board = self._board
-        request_id = headers_by_name[REQUEST_ID].decode('latin-1')
-        service = route.choose_service(request_id)
-        state = RequestState(
-            request=build_request(
-                received.method,
-                received.target,
-                _filter_headers(received),
-                service=service,
-                request_id=request_id,
-                is_idempotent=route.is_idempotent,
-            ),
-            body=received.body,
-            caller_ip=received.caller_ip,
-            route=route,
-            deadline=received.received_at
-            + min(left_s, route.timeout_s)
-            - RESPONSE_MARGIN_S,
-        )
-        received.is_dispatched = True
-        outcome = await self._dispatch(state)
-        self._record_outcome(
-            state, outcome, board.clock() - received.received_at
-        )
-        return build_response(outcome)
-
     async def _dispatch(self, state: RequestState) -> DispatchOutcome:
         drain = self._board.drain
         if drain and not drain.accepts(self._board.clock(), state.deadline):
@@ -322,37 +271,3 @@
         if len(local_ips) < LOCAL_ENTRIES_MIN:
             local_ips = [entry.ip for entry in candidates]
         return [f'{ip}:{port}' for ip in sorted(local_ips)[:ADDRESSES_MAX]]
-
-
-def _filter_headers(
-    received: ReceivedRequest,
-) -> tuple[tuple[bytes, bytes], ...]:
-    stripped = _STRIPPED_HEADERS
-    for name, text in received.headers:
-        if name == b'connection':
-            stripped = stripped | {
-                part.strip().lower() for part in text.split(b',')
-            }
-    return tuple(pair for pair in received.headers if pair[0] not in stripped)
-
-
-def _has_unique_headers(received: ReceivedRequest) -> bool:
-    """Return whether a request has one id and at most one deadline."""
-    ids = [value for name, value in received.headers if name == REQUEST_ID]
-    deadlines = [name for name, _ in received.headers if name == DEADLINE_MS]
-    return len(ids) == 1 and ids != [b''] and len(deadlines) < 2
-
-
-def _read_left_s(text: bytes | None, default_s: float) -> float | None:
-    """Return the time until the deadline in seconds.
-
-    :param text: value of the header; ``None`` if it is missing.
-    :param default_s: time if the header is missing.
-    :returns: ``None`` if the header is not a decimal number; infinite for a
-        number that is too large for a float.
-    """
-    if text is None:
-        return default_s
-    if _DECIMAL_NUMBER.fullmatch(text) is None:
-        return None
-    return float(text) / MILLISECONDS_PER_S
--- a/copperyard/forwarded_serving.py
+++ b/copperyard/forwarded_serving.py
@@ -33,6 +33,7 @@
     REQUEST_ID_HEADER,
 )
 from copperyard.routes import Route, WeightedService
+from copperyard.tenants.key_checker import KeyChecker
 
 # Forwarded requests in flight; beyond it, the requests of this entry's own
 # callers would wait for its processor.
@@ -56,11 +57,15 @@
 
     :param board: entries, priorities and metrics.
     :param dispatcher: sends requests to backend servers.
+    :param keys: checks the API keys of requests.
     """
 
-    def __init__(self, board: EntryBoard, dispatcher: Dispatcher) -> None:
+    def __init__(
+        self, board: EntryBoard, dispatcher: Dispatcher, keys: KeyChecker
+    ) -> None:
         self._board = board
         self._dispatcher = dispatcher
+        self._keys = keys
         self._in_flight = 0
         self._unknown_kinds = UnknownKinds(board.metrics)
 
@@ -90,7 +95,9 @@
             )
             return _build_response(malformed, 0, request_id)
         state = _build_state(received, request_id, forwarded, int(left_ms))
-        refusal = self._find_refusal(state, received.caller_ip)
+        refusal = self._find_refusal(
+            state, received.caller_ip
+        ) or self._check_key(state, forwarded.key_digest)
         if refusal is not None:
             return _build_response(refusal, 0, request_id)
         received.is_dispatched = True
@@ -131,6 +138,18 @@
             return NotRun(RefusalReason.NO_CAPACITY, FULL_RETRY_AFTER_S)
         return None
 
+    def _check_key(self, state: RequestState, digest: bytes) -> NotRun | None:
+        """Check the key again: this entry may know a newer configuration."""
+        request = state.request
+        sender = self._keys.identify_forwarded(request.headers, digest)
+        if isinstance(sender, NotRun):
+            return sender
+        state.request = replace(
+            request, headers=self._keys.write_headers(request.headers, sender)
+        )
+        self._keys.guard(state, sender)
+        return None
+
     async def _run(
         self, state: RequestState, source_ip: str
     ) -> DispatchOutcome:
--- a/copperyard/load_reports.py
+++ b/copperyard/load_reports.py
@@ -3,14 +3,10 @@
 from typing import Final
 
 from copperyard.entry_board import EntryBoard
+from copperyard.header_values import read_leaving, read_load, read_rate_limit
 from copperyard.logs import log_event
 from copperyard.outcomes import Answered
-from copperyard.platform import (
-    read_cold_left_s,
-    read_leaving,
-    read_load,
-    read_rate_limit,
-)
+from copperyard.platform import read_cold_left_s
 from copperyard.retry_after import find_retry_after, read_retry_after_s
 from copperyard.server_table import KnownServer
 
--- a/copperyard/outcomes.py
+++ b/copperyard/outcomes.py
@@ -22,6 +22,8 @@
     ``LEAVING``: the proxy accepts no new requests.
     ``CLAIM_UNAVAILABLE``: the home of the request id, which is the member that
     permits its one run (see ``claims``), cannot do so now.
+    ``UNAUTHENTICATED``: the request has no API key that a tenant holds.
+    ``KEYS_OUTDATED``: the entry cannot know which API keys are still valid.
     ``INTERNAL_ERROR``: an unexpected exception in the entry before anything was
     sent.
     """
@@ -44,6 +46,8 @@
     CONNECT_FAILED = 'connect_failed'
     SERVER_REFUSED = 'server_refused'
     CLAIM_UNAVAILABLE = 'claim_unavailable'
+    UNAUTHENTICATED = 'unauthenticated'
+    KEYS_OUTDATED = 'keys_outdated'
     INTERNAL_ERROR = 'internal_error'
 
 
--- a/copperyard/peer_forwarding.py
+++ b/copperyard/peer_forwarding.py
@@ -51,6 +51,9 @@
 CONNECTIONS_MAX: Final = 128
 # An entry that could not be reached is not tried again for this time.
 UNREACHED_BACKOFF_S: Final = 1.0
+# First version of the message formats that tells the API key of a request.
+# Builds before it would run the request without a check.
+KEY_FORMATS: Final = 3
 
 # Refusals that blame the request.
 _FAULTS_OF_REQUESTS: Final = frozenset(
@@ -60,6 +63,8 @@
         RefusalReason.BODY_TOO_LARGE,
         RefusalReason.HEAD_TOO_LARGE,
         RefusalReason.TOO_SLOW,
+        # The other entry may lack a key that has been added just now.
+        RefusalReason.UNAUTHENTICATED,
     )
 )
 
@@ -106,12 +111,18 @@
         self._backoff_until_by_ip: dict[str, float] = {}
 
     def find_entry(
-        self, service: str, excluded_ips: Collection[str] = ()
+        self,
+        service: str,
+        excluded_ips: Collection[str] = (),
+        *,
+        has_key: bool = False,
     ) -> str | None:
         """Return the IP address of an entry that reaches a service.
 
         :param service: name of the service.
         :param excluded_ips: entries that have been tried.
+        :param has_key: whether the request has an API key, which the entry
+            must be able to check.
         :returns: ``None`` if no entry reaches its servers.
         """
         now = self._board.clock()
@@ -124,6 +135,10 @@
             and peer.heartbeat.ip not in excluded_ips
             and self._backoff_until_by_ip.get(peer.heartbeat.ip, 0) <= now
         ]
+        if has_key:
+            reaching = [
+                beat for beat in reaching if beat.formats >= KEY_FORMATS
+            ]
         local = [beat for beat in reaching if beat.failure_domain == own_domain]
         candidates = local if len(local) >= LOCAL_ENTRIES_MIN else reaching
         if not candidates:
@@ -158,8 +173,10 @@
             sends=0,
         )
         while result.is_untaken and len(tried_ips) < ENTRIES_TRIED_MAX:
-            ip = self.find_entry(service, tried_ips)
-            if ip is None:
+            ip = self.find_entry(
+                service, tried_ips, has_key=bool(state.key_digest)
+            )
+            if ip is None or not state.may_run():
                 break
             tried_ips.add(ip)
             log_event(
@@ -268,6 +285,7 @@
         priority=route.priority,
         caller_ip=state.caller_ip,
         is_counted=state.is_counted,
+        key_digest=state.key_digest,
     )
     return replace(
         request,
--- a/copperyard/request_states.py
+++ b/copperyard/request_states.py
@@ -55,7 +55,8 @@
         for public routes.
     :param key_digest: digest of the API key that it was sent with.
     :param may_run: called right before each attempt is sent; returns whether
-        the request may still run.
+        the request may still run, and calls ``deny`` if not.
+    :param denial: why the request must not be sent to any server any more.
     """
 
     request: CallerRequest
@@ -75,6 +76,7 @@
     tenant: Tenant | None = None
     key_digest: bytes = b''
     may_run: Callable[[], bool] = _always
+    denial: NotRun | None = None
 
     @cached_property
     def fingerprints(self) -> RequestFingerprints:
@@ -88,8 +90,23 @@
         elif isinstance(outcome, StreamedResponse):
             outcome.close()
 
+    def deny(self, refusal: NotRun) -> None:
+        """End the request without a further attempt.
+
+        An attempt that has been sent may still be answered.
+
+        :param refusal: outcome for the caller if the request has not run.
+        """
+        self.denial = self.denial or refusal
+        self.record_failure(refusal)
+
     def record_failure(self, failure: DispatchOutcome) -> None:
-        """Keep the last refusal, or the first failure of another kind."""
+        """Keep the last refusal, or the first failure of another kind.
+
+        Why a request is denied tells more than why a server refused it.
+        """
+        if isinstance(failure, NotRun):
+            failure = self.denial or failure
         if self.failure is None or isinstance(self.failure, NotRun):
             self.failure = failure
         elif isinstance(failure, StreamedResponse):
--- a/tests/test_platform_records.py
+++ b/tests/test_platform_records.py
@@ -17,6 +17,7 @@
     encode_message,
 )
 from copperyard.exchanges import BackendPool
+from copperyard.header_values import read_load
 from copperyard.metadata_store import (
     ConfigurationChange,
     DomainChange,
@@ -28,11 +29,7 @@
 )
 from copperyard.metrics import Metrics
 from copperyard.outcomes import Answered
-from copperyard.platform.headers import (
-    STORE_ERA,
-    read_cold_left_s,
-    read_load,
-)
+from copperyard.platform.headers import STORE_ERA, read_cold_left_s
 from copperyard.platform.lookups import (
     LOOKUP_PATH,
     encode_lookup,
--- a/tests/test_rate_limits.py
+++ b/tests/test_rate_limits.py
@@ -19,6 +19,7 @@
     encode_message,
 )
 from copperyard.entry_peers import EntryPeers
+from copperyard.header_values import read_rate_limit
 from copperyard.load_probing import LoadProber
 from copperyard.outcomes import Answered, NotRun, RefusalReason
 from copperyard.picking import (
@@ -26,7 +27,6 @@
     PickOptions,
     ServerPicker,
 )
-from copperyard.platform import read_rate_limit
 from copperyard.rate_limits import (
     CONFIRM_AFTER_S,
     END_RETENTION_S,
--- a/tests/test_untrusted_input.py
+++ b/tests/test_untrusted_input.py
@@ -15,10 +15,11 @@
 from copperyard.caller_responses import CallerResponse
 from copperyard.clock import seconds_since_boot
 from copperyard.entry_messages import LoadReport, LoadUpdate, encode_message
+from copperyard.header_values import read_load
 from copperyard.http_codec import ResponseParser
 from copperyard.limits import COUNT_MAX, parse_load_header
 from copperyard.metrics import Metrics
-from copperyard.platform.headers import read_cold_left_s, read_load
+from copperyard.platform.headers import read_cold_left_s
 from copperyard.platform.lookups import read_caller_domain
 from copperyard.probe_controller import parse_load_report
 from copperyard.requests import (
