Never let the operator's records look newer than their read

Cause: API keys are refused by the age of the operator's records, and that age was too low on five paths: heartbeats and server updates that waited in the socket of a frozen entry, updates that such an entry passed on, entries at the same position that keep other lost records, a read that ends before a position that another entry has told, and a store that returned from an older copy while this entry was cut off.

Change: DatagramSocket gives each datagram the earliest time at which it can have arrived, which is when the queue was last seen empty; ages count from then, and a relayed update ages while it waits. Ages are taken only from entries with the same kept records (ServerUpdate tells their digest in a new last field). Reads that may lack what others know do not count, and are repeated after 0.3 s. An entry whose data was older than 2 s when the store returned counts its own reads 2 s later, and only while it hears another entry, if it knows any. Socket, read schedules, recent reads and listings get modules of their own. test_copied_records_are_as_recent_as_the_read tells the digest that a real heartbeat has; test_controller_survives replaces the socket's new methods.

--- a/copperyard/entry_messages.py
+++ b/copperyard/entry_messages.py
@@ -243,6 +243,7 @@
         the log.
     :param servers_era: era of ``start``, ``end`` and the changes.
     :param operator_era: era of ``operator_end``.
+    :param kept_digest: as in ``Heartbeat``.
     """
 
     start: _End
@@ -254,6 +255,7 @@
     operator_age_s: _AgeIfRead = 0.0
     servers_era: Era = 0
     operator_era: Era = 0
+    kept_digest: Number = 0
 
 
 class LoadReport(msgspec.Struct, frozen=True, array_like=True):
--- a/copperyard/entry_peers.py
+++ b/copperyard/entry_peers.py
@@ -1,8 +1,8 @@
 """Datagrams between entries: who is alive, facts, server changes and loads."""
 
-import socket
+import math
 from collections import deque
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Iterable
 from contextlib import AsyncExitStack
 from dataclasses import dataclass
 from random import Random
@@ -12,6 +12,7 @@
 import msgspec
 
 from copperyard.clock import MILLISECONDS_PER_S
+from copperyard.datagram_socket import DatagramSocket
 from copperyard.entry_board import EntryBoard
 from copperyard.entry_gossip import NEWS_DELAY_S, EntryGossip
 from copperyard.entry_messages import (
@@ -24,7 +25,6 @@
     Inquiry,
     LoadReport,
     LoadUpdate,
-    OutcomeCounts,
     ServerUpdate,
     UnknownForm,
     decode_datagram,
@@ -36,8 +36,10 @@
 from copperyard.fault_barriers import FaultBarrier
 from copperyard.logs import log_event
 from copperyard.message_formats import FORMATS_VERSION, UnknownKinds
+from copperyard.outcome_counts import count_outcomes
+from copperyard.record_listings import LostRecordsComparison
 from copperyard.server_loads import LoadSample
-from copperyard.server_update_parts import split_update
+from copperyard.server_update_parts import add_age, split_update
 from copperyard.settings import is_ipv4
 from copperyard.shared_facts import SharedFacts
 from copperyard.store_replica import StoreReplica
@@ -61,11 +63,11 @@
 # random each time, so that the cost per entry does not grow with the domain.
 LOAD_UPDATE_PEERS_MAX: Final = 12
 
+# Datagrams that are handled before other tasks run.
+RECEIVED_PER_TURN_MAX: Final = 16
 # Comparisons with other entries that are not repeated.
 COMPARISONS_KEPT: Final = 64
 
-_RECEIVE_BYTES: Final = 64 * 1024
-
 
 @dataclass(frozen=True, slots=True)
 class ReadyEntry:
@@ -81,20 +83,6 @@
     is_cut_off: bool
 
 
-@dataclass(frozen=True, slots=True)
-class LostRecordsComparison:
-    """Two entries that keep different records that the store has lost.
-
-    :param ip: IP address of the other entry.
-    :param own_digest: digest of the records that this entry keeps.
-    :param other_digest: digest of those that the other one keeps.
-    """
-
-    ip: str
-    own_digest: int
-    other_digest: int
-
-
 class EntryPeers:
     """Tracks the other entries and exchanges datagrams with them.
 
@@ -121,11 +109,13 @@
             random,
         )
         # Highest era and end of the operator's records that another entry has
-        # told, that entry, when it told this, and when it had read the log.
+        # told, that entry, when it told this, when it had read the log, and the
+        # digest of the lost records that it keeps.
         self.newest_operator_position = (0, -1)
         self.newest_operator_ip = ''
         self.newest_operator_heard_at = float('-inf')
         self.newest_operator_read_at = float('-inf')
+        self.newest_operator_digest = 0
         # Entry for which other records count that the store has lost.
         self.differing_ip = ''
         # Whether another entry has told addresses of others. One of an older
@@ -154,10 +144,7 @@
         self._compared_digests: deque[tuple[int, int]] = deque(
             maxlen=COMPARISONS_KEPT
         )
-        self._socket = socket.socket(
-            socket.AF_INET,
-            socket.SOCK_DGRAM | socket.SOCK_NONBLOCK | socket.SOCK_CLOEXEC,
-        )
+        self._socket = DatagramSocket(board.clock)
 
     def send_message(self, ip: str, message: Datagram) -> None:
         """Send a datagram to one entry.
@@ -185,8 +172,7 @@
         :param stack: exit stack that closes the socket.
         """
         settings = self._board.settings
-        stack.enter_context(self._socket)
-        self._socket.bind((settings.ip, settings.entry_port))
+        self._socket.open(stack, settings.ip, settings.entry_port)
 
     def list_alive(self, now: float) -> list[EntryPeer]:
         """Return the entries that are neither down nor leaving.
@@ -235,6 +221,7 @@
     async def run_heartbeats(self) -> None:
         """Send heartbeats and check for silent entries until cancelled."""
         while True:
+            self._socket.check_empty()
             self._run_once(self._board.clock())
             await anyio.sleep(TICK_INTERVAL_S)
 
@@ -287,12 +274,12 @@
     async def receive(self) -> None:
         """Receive and handle datagrams until cancelled."""
         while True:
-            await anyio.wait_readable(self._socket)
-            try:
-                content = self._socket.recv(_RECEIVE_BYTES)
-            except BlockingIOError:
-                continue
-            self._handle_content(content)
+            await self._socket.wait_readable()
+            for _ in range(RECEIVED_PER_TURN_MAX):
+                datagram = self._socket.receive()
+                if datagram is None:
+                    break
+                self._handle_content(datagram.content, datagram.arrived_at)
 
     def send_server_update(self, update: ServerUpdate) -> None:
         """Send changes of backend servers to all entries.
@@ -386,13 +373,15 @@
             silent_ms=round(silent_s * MILLISECONDS_PER_S),
         )
 
-    def _handle_content(self, content: bytes) -> None:
+    def _handle_content(
+        self, content: bytes, arrived_at: float = math.inf
+    ) -> None:
         message = decode_datagram(content)
         if message is None:
             self._record_refused(content)
             return
         with FaultBarrier(self._board.metrics, 'datagram'):
-            self._handle(message)
+            self._handle(message, arrived_at)
 
     def _record_refused(self, content: bytes) -> None:
         match find_unknown_form(content):
@@ -465,20 +454,21 @@
         )
         valid_reports = tuple(filter(self._check_report, reports))
         sent_ids = tuple(board.unsent_sends)
-        outcomes = _count_outcomes(board.unsent_outcomes)
+        outcomes = count_outcomes(board.unsent_outcomes)
         checks = self.facts.take_checks(now)
         board.unsent_samples.clear()
         board.unsent_sends.clear()
         board.unsent_outcomes.clear()
         return LoadUpdate(valid_reports, sent_ids, outcomes, checks)
 
-    def _handle(self, message: Datagram) -> None:
+    def _handle(self, message: Datagram, arrived_at: float = math.inf) -> None:
         now = self._board.clock()
+        arrived_at = min(now, arrived_at)
         match message:
             case Heartbeat():
-                self._handle_heartbeat(message, now)
+                self._handle_heartbeat(message, now, arrived_at)
             case ServerUpdate():
-                self._handle_server_update(message, now)
+                self._handle_server_update(message, now, arrived_at)
             case LoadUpdate():
                 self._board.metrics.count('loads.received')
                 self._apply_load_update(message, now)
@@ -503,16 +493,20 @@
                 if handler is not None:
                     handler(message, now)
 
-    def _handle_server_update(self, update: ServerUpdate, now: float) -> None:
+    def _handle_server_update(
+        self, update: ServerUpdate, now: float, arrived_at: float
+    ) -> None:
         self._board.metrics.count('news.received')
-        is_new = self._replica.apply_server_update(update, now)
+        is_new = self._replica.apply_server_update(update, now, arrived_at)
         if is_new and update.is_relayed:
-            content = encode_message(update)
+            content = encode_message(add_age(update, now - arrived_at))
             self._board.metrics.count('news.relayed')
             for ip in self._gossip.list_relays():
                 self._send(ip, content)
 
-    def _handle_heartbeat(self, heartbeat: Heartbeat, now: float) -> None:
+    def _handle_heartbeat(
+        self, heartbeat: Heartbeat, now: float, arrived_at: float = math.inf
+    ) -> None:
         if heartbeat.ip == self._board.settings.ip:
             return
         if self._gossip.handle_heartbeat(heartbeat, now):
@@ -520,12 +514,14 @@
             self._update_entry_ips()
         self.is_told_addresses |= bool(heartbeat.known_ips)
         self.contact(heartbeat.known_ips)
-        self._compare_positions(heartbeat, now)
+        self._compare_positions(heartbeat, now, arrived_at)
         if self.facts.apply(heartbeat, now) and self._has_unwatching_peers():
             # The sender tells its own watchers only.
             self._board.has_urgent_news.set()
 
-    def _compare_positions(self, heartbeat: Heartbeat, now: float) -> None:
+    def _compare_positions(
+        self, heartbeat: Heartbeat, now: float, arrived_at: float = math.inf
+    ) -> None:
         """Find out whether another entry knows more of the store's logs."""
         replica = self._replica
         if not replica.is_plausible(
@@ -533,12 +529,13 @@
         ):
             return
         position = (heartbeat.operator_era, heartbeat.operator_end)
-        read_at = now - heartbeat.operator_age_s
+        read_at = min(now, arrived_at) - heartbeat.operator_age_s
         if position > self.newest_operator_position:
             self.newest_operator_position = position
             self.newest_operator_ip = heartbeat.ip
             self.newest_operator_heard_at = now
             self.newest_operator_read_at = read_at
+            self.newest_operator_digest = heartbeat.kept_digest
         if position == replica.operator_position:
             self._compare_lost_records(heartbeat)
         if (heartbeat.servers_era, heartbeat.servers_end) > (
@@ -547,8 +544,14 @@
             self.newer_servers_ip = heartbeat.ip
             if heartbeat.servers_era > replica.servers_era:
                 replica.has_gap = True
+        # What has been compared is known here as well.
+        digests = (replica.kept_digest, heartbeat.kept_digest)
+        is_known = digests in self._compared_digests
         replica.record_operator_read(
-            heartbeat.operator_end, read_at, heartbeat.operator_era
+            heartbeat.operator_end,
+            read_at,
+            heartbeat.operator_era,
+            digests[0 if is_known else 1],
         )
 
     def _compare_lost_records(self, heartbeat: Heartbeat) -> None:
@@ -610,22 +613,8 @@
     def _send(self, ip: str, content: bytes) -> None:
         self._board.metrics.count('datagram.sent')
         try:
-            self._socket.sendto(content, (ip, self._board.settings.entry_port))
+            self._socket.send(content, ip, self._board.settings.entry_port)
         except OSError as error:
             # Datagrams may be lost; a later one carries the same information.
             self._board.metrics.count('datagram.unsent')
             log_event('datagram_unsent', entry=ip, detail=str(error))
-
-
-def _count_outcomes(
-    outcomes: Mapping[tuple[str, bool], int],
-) -> tuple[OutcomeCounts, ...]:
-    server_ids = {server_id for server_id, _ in outcomes}
-    return tuple(
-        OutcomeCounts(
-            server_id,
-            successes=outcomes.get((server_id, True), 0),
-            failures=outcomes.get((server_id, False), 0),
-        )
-        for server_id in server_ids
-    )
--- a/copperyard/server_update_parts.py
+++ b/copperyard/server_update_parts.py
@@ -45,6 +45,19 @@
         start = end
 
 
+def add_age(update: ServerUpdate, waited_s: float) -> ServerUpdate:
+    """Return an update whose ages include the time that it has waited here.
+
+    :param update: the update as it was received.
+    :param waited_s: longest time for which it can have waited.
+    """
+    return msgspec.structs.replace(
+        update,
+        age_s=update.age_s + waited_s,
+        operator_age_s=update.operator_age_s + waited_s,
+    )
+
+
 def _divide(
     changes: list[ServerChange],
 ) -> Iterator[tuple[ServerChange, ...]]:
--- a/copperyard/store_poller.py
+++ b/copperyard/store_poller.py
@@ -2,7 +2,7 @@
 
 import math
 from collections.abc import Callable
-from dataclasses import dataclass, replace
+from dataclasses import replace
 from random import Random
 from typing import Final
 
@@ -26,6 +26,7 @@
     divide_batch,
 )
 from copperyard.outcomes import Answered
+from copperyard.read_schedules import RETRY_DELAY_S, ReadSchedule
 from copperyard.read_turns import (
     FIRST_COPY_WAIT_S,
     FIRST_READ_DELAY_FACTOR,
@@ -51,11 +52,6 @@
 REGISTERED_ENTRIES: Final = 4
 # Interval at which the first of them looks for entries that nobody knows.
 SEARCH_INTERVAL_S: Final = 15.0
-# Delay after a failed read; each further failure doubles it.
-RETRY_DELAY_S: Final = 0.3
-# Longest delay after failed reads, and so the longest time until a recovered
-# store is noticed.
-RETRY_DELAY_MAX_S: Final = 2.0
 # Interval between checks whether a read is due: a quarter of ``RANK_DELAY_S``.
 POLL_INTERVAL_S: Final = 0.03
 # A heartbeat may name an offset that this entry is just reading, so the entry
@@ -76,25 +72,6 @@
 _OK: Final = 200
 
 
-@dataclass(slots=True)
-class _ReadSchedule:
-    """When the records of one kind may be read again.
-
-    :param records: what is read, for the log.
-    :param retry_delay_s: delay after the last read if it failed, otherwise 0.
-    :param next_read_at: earliest time of the next read, ``CLOCK_BOOTTIME`` in
-        seconds.
-    :param is_forced: whether the next read is this entry's turn, because it has
-        noticed that the store returned from an older copy, or has read only a
-        part of what is new.
-    """
-
-    records: str
-    retry_delay_s: float = 0.0
-    next_read_at: float = 0.0
-    is_forced: bool = False
-
-
 class StorePoller:
     """Reads the metadata store often enough to keep the replica up to date.
 
@@ -126,8 +103,8 @@
         self._pool = pool
         self._unknown_kinds = UnknownKinds(board.metrics)
         # One kind may fail while the other can still be read.
-        self._server_schedule = _ReadSchedule('servers')
-        self._operator_schedule = _ReadSchedule('operator_records')
+        self._server_schedule = ReadSchedule('servers')
+        self._operator_schedule = ReadSchedule('operator_records')
         # Keeps a registration in flight from following the removal.
         self._registration_lock = anyio.Lock()
         self._is_registered = False
@@ -240,7 +217,7 @@
 
     def _is_due(
         self,
-        schedule: _ReadSchedule,
+        schedule: ReadSchedule,
         read_at: float,
         max_age_s: float,
         find_delay_s: Callable[[int], float],
@@ -269,7 +246,7 @@
             self._find_rank(READERS_NAME)
         )
 
-    def _has_source(self, schedule: _ReadSchedule) -> bool:
+    def _has_source(self, schedule: ReadSchedule) -> bool:
         """Return whether another entry has told that it has more records."""
         peers = self._peers
         if schedule is self._server_schedule:
@@ -338,7 +315,10 @@
         # What has been copied is as recent as the read that it came from.
         era, end = self._peers.newest_operator_position
         self._replica.record_operator_read(
-            end, self._peers.newest_operator_read_at, era
+            end,
+            self._peers.newest_operator_read_at,
+            era,
+            self._peers.newest_operator_digest,
         )
         self._copy_operator_from = 0.0
         self._peers.send_heartbeats()
@@ -389,7 +369,7 @@
         failure = self._find_failure(batch, (era_before, start))
         if failure is None and isinstance(batch, ServerBatch):
             await self._apply_server_batch(batch, read_at)
-            _record_success(self._server_schedule)
+            self._server_schedule.record_success()
             self._server_schedule.is_forced = batch.has_more and bool(
                 batch.changes
             )
@@ -423,15 +403,29 @@
         self._board.metrics.count('store.read')
         failure = self._find_failure(batch, (era_before, start))
         if failure is None and isinstance(batch, OperatorBatch):
-            self._replica.apply_operator_batch(batch, read_at)
+            self._apply_operator_batch(batch, read_at)
             if batch.era > era_before:
                 await self._read_history()
-            _record_success(self._operator_schedule)
+            self._operator_schedule.record_success()
             # The heartbeat tells the others that they need not read now.
             self._peers.send_heartbeats()
         else:
             self._record_failure(self._operator_schedule, failure or '')
 
+    def _apply_operator_batch(
+        self, batch: OperatorBatch, read_at: float
+    ) -> None:
+        """Apply a batch; it may lack records that other entries know."""
+        board, replica, peers = self._board, self._replica, self._peers
+        now = board.clock()
+        is_alone = len(board.entry_ips) > 1 and not peers.list_alive(now)
+        is_behind = peers.newest_operator_position > (batch.era, batch.end)
+        is_unsettled = math.isfinite(replica.operator_counts_from) and is_alone
+        counted_at = -math.inf if is_behind or is_unsettled else read_at
+        replica.apply_operator_batch(batch, counted_at)
+        if replica.operator_read_at < read_at:
+            self._operator_schedule.next_read_at = now + RETRY_DELAY_S
+
     async def _read_history(self) -> None:
         """Look in the operator's log for the ends of lost evacuations."""
         start = self._replica.find_history_start()
@@ -496,14 +490,9 @@
         self._board.metrics.count('store.outdated')
         return f'era {batch.era} after era {known_era}'
 
-    def _record_failure(self, schedule: _ReadSchedule, detail: str) -> None:
-        if not schedule.retry_delay_s:
-            log_event('store_lost', records=schedule.records, reason=detail)
+    def _record_failure(self, schedule: ReadSchedule, detail: str) -> None:
         self._board.metrics.count('store.read_failed')
-        schedule.retry_delay_s = min(
-            RETRY_DELAY_MAX_S, max(RETRY_DELAY_S, 2 * schedule.retry_delay_s)
-        )
-        schedule.next_read_at = self._board.clock() + schedule.retry_delay_s
+        schedule.record_failure(detail, self._board.clock())
 
     async def _copy(self, ip: str, path: str) -> bool:
         """Copy records; return whether the operator's count here."""
@@ -533,9 +522,3 @@
         else:
             self._board.metrics.count('snapshot.damaged')
             log_event('snapshot_damaged', entry=ip)
-
-
-def _record_success(schedule: _ReadSchedule) -> None:
-    if schedule.retry_delay_s:
-        log_event('store_regained', records=schedule.records)
-    schedule.retry_delay_s = 0.0
--- a/copperyard/store_replica.py
+++ b/copperyard/store_replica.py
@@ -1,8 +1,7 @@
 """An entry's replica of the operator's records and the backend servers."""
 
-from collections import deque
+import math
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass
 from typing import Final
 
 import msgspec
@@ -10,7 +9,6 @@
 from copperyard.bounded_logs import EVENT_LINES_PER_S
 from copperyard.entry_board import EntryBoard
 from copperyard.entry_messages import ServerUpdate, Snapshot
-from copperyard.known_eras import KnownEra
 from copperyard.logs import log_event
 from copperyard.metadata_store import (
     ConfigurationChange,
@@ -26,36 +24,26 @@
     OperatorRecordSet,
     RecordListing,
 )
+from copperyard.recent_server_reads import RecentServerReads
+from copperyard.record_listings import build_listing
 from copperyard.routes import RouteTable
 from copperyard.server_table import ServerChange, is_plausible_era
 
-# Each update repeats the changes of this many reads, so that a lost datagram
-# leaves no gap.
-READS_PER_UPDATE: Final = 4
 # Largest distance between an update's end and the offset known here. Its reads
 # contain fewer records; a larger end is not from the log.
 UPDATE_OFFSETS_MAX: Final = 1_000_000
 # Two reads that began within this time are equally new. It is longer than an
 # update is on its way, and shorter than the interval between reads.
 NEWER_READ_S: Final = 0.1
+# An entry whose data was older than this when the store returned from a copy
+# may lack records that the copy has lost and others know.
+ERA_CURRENT_AGE_S: Final = 2.0
+# In this time it has heard from others, and copied what they know.
+ERA_SETTLE_S: Final = 2.0
 # End offset of a log that has not been read yet; offsets start at 0.
 NEVER_READ: Final = -1
 
 
-@dataclass(frozen=True, slots=True)
-class _ServerRead:
-    """Changes of backend servers found by one read of the store.
-
-    :param start: offset of the first record that was read.
-    :param end: offset after the last one.
-    :param changes: changes that were new to this entry.
-    """
-
-    start: int
-    end: int
-    changes: tuple[ServerChange, ...]
-
-
 class StoreReplica:
     """Applies records that were read from the store or sent by other entries.
 
@@ -74,7 +62,11 @@
     ) -> None:
         self.operator_era = 0
         self.operator_end = NEVER_READ
+        # When the read was sent that the operator's records rest on.
         self.operator_read_at = float('-inf')
+        # Own reads that were sent before this do not count: they may be of an
+        # older copy that lacks what others know. Infinite time ago otherwise.
+        self.operator_counts_from = float('-inf')
         self.servers_era = 0
         self.servers_end = NEVER_READ
         self.servers_read_at = float('-inf')
@@ -87,7 +79,7 @@
         self._operator_records = OperatorRecordSet(decode)
         # Record of the configuration in force.
         self._configuration: OperatorRecord | None = None
-        self._recent_reads: deque[_ServerRead] = deque(maxlen=READS_PER_UPDATE)
+        self._recent_reads = RecentServerReads()
 
     @property
     def era(self) -> int:
@@ -147,7 +139,8 @@
                 if (batch.era, record.offset) >= self.operator_position:
                     self._apply_effects(self._operator_records.put(record))
         self._advance_operator(position)
-        self.operator_read_at = max(self.operator_read_at, read_at)
+        if read_at >= self.operator_counts_from:
+            self._count_operator_read(read_at)
 
     def find_history_start(self) -> int | None:
         """Return from where the operator's log may end lost evacuations.
@@ -194,20 +187,11 @@
             present_ids = {change.server_id for change in batch.changes}
             table.retain(present_ids, batch.end, now, batch.era)
         self._record_damaged(batch.damaged_ids)
-        # An update has to contain all changes since its start. Changes that
-        # this entry got from others between two reads are not stored here, so
-        # the list starts anew unless this read follows the last one directly.
-        if self._recent_reads and self._recent_reads[-1].end != batch.start:
-            self._recent_reads.clear()
-        if batch.is_full:
-            # A full read does not tell which servers were removed.
-            self._recent_reads.clear()
-        else:
-            self._append_read(batch, changes)
+        self._recent_reads.record(batch, changes)
         self._advance_servers((batch.era, batch.end), read_at)
 
     def record_operator_read(
-        self, end: int, read_at: float, era: int = 0
+        self, end: int, read_at: float, era: int = 0, kept_digest: int = 0
     ) -> None:
         """Record that another entry has read the operator's records.
 
@@ -216,15 +200,27 @@
         :param read_at: when that was the end of the log, ``CLOCK_BOOTTIME`` in
             seconds.
         :param era: era of the log.
+        :param kept_digest: digest of the records that it has and the log has
+            lost; without these, the data here is not as recent.
         """
-        if end != NEVER_READ and (era, end) == self.operator_position:
-            self.operator_read_at = max(self.operator_read_at, read_at)
+        if (
+            end != NEVER_READ
+            and (era, end) == self.operator_position
+            and kept_digest == self.kept_digest
+        ):
+            self._count_operator_read(read_at)
 
-    def apply_server_update(self, update: ServerUpdate, now: float) -> bool:
+    def apply_server_update(
+        self,
+        update: ServerUpdate,
+        now: float,
+        arrived_at: float = math.inf,
+    ) -> bool:
         """Apply changes of backend servers that another entry has read.
 
         :param update: the received update.
         :param now: ``CLOCK_BOOTTIME`` in seconds.
+        :param arrived_at: earliest time at which it can have arrived.
         :returns: whether it was applied and is newer than what was known here.
         """
         if not self.is_plausible(update.operator_era, update.servers_era):
@@ -256,8 +252,9 @@
             self._advance_servers((update.servers_era, end), read_at)
         self.record_operator_read(
             update.operator_end,
-            now - update.operator_age_s,
+            min(now, arrived_at) - update.operator_age_s,
             update.operator_era,
+            update.kept_digest,
         )
         return is_new
 
@@ -266,23 +263,17 @@
 
         :param now: ``CLOCK_BOOTTIME`` in seconds.
         """
-        start = (
-            self._recent_reads[0].start
-            if self._recent_reads
-            else self.servers_end
-        )
-        changes = [
-            change for read in self._recent_reads for change in read.changes
-        ]
+        start = self._recent_reads.find_start()
         return ServerUpdate(
-            start,
+            self.servers_end if start is None else start,
             self.servers_end,
             now - self.servers_read_at,
-            tuple(changes),
+            self._recent_reads.list_changes(),
             operator_end=self.operator_end,
             operator_age_s=now - self.operator_read_at,
             servers_era=self.servers_era,
             operator_era=self.operator_era,
+            kept_digest=self.kept_digest,
         )
 
     def build_operator_snapshot(self) -> Snapshot:
@@ -342,7 +333,7 @@
             and self.operator_end != NEVER_READ
         )
         if is_operator_new:
-            self._settle(_build_listing(snapshot))
+            self._settle(build_listing(snapshot))
             self._advance_operator(position)
         if (snapshot.servers_era, snapshot.servers_end) > (
             self.servers_position
@@ -378,17 +369,6 @@
         for server_id in server_ids[:EVENT_LINES_PER_S]:
             log_event('server_entry_damaged', server=server_id)
 
-    def _append_read(
-        self, batch: ServerBatch, changes: tuple[ServerChange, ...]
-    ) -> None:
-        read = _ServerRead(batch.start, batch.end, changes)
-        if batch.is_continued and self._recent_reads:
-            begun = self._recent_reads.pop()
-            read = _ServerRead(
-                begun.start, batch.end, (*begun.changes, *changes)
-            )
-        self._recent_reads.append(read)
-
     def _is_applicable(
         self, batch: OperatorBatch | ServerBatch, era: int
     ) -> bool:
@@ -424,10 +404,21 @@
 
     def _advance_operator(self, position: tuple[int, int]) -> None:
         era, end = max(self.operator_position, position)
+        now = self._board.clock()
+        if (
+            era > self.operator_era
+            and self.operator_end != NEVER_READ
+            and now - self.operator_read_at > ERA_CURRENT_AGE_S
+        ):
+            self.operator_counts_from = now + ERA_SETTLE_S
         self.operator_era = era
         self.operator_end = end
         self._update_kept_digest()
 
+    def _count_operator_read(self, read_at: float) -> None:
+        self.operator_read_at = max(self.operator_read_at, read_at)
+        self.operator_counts_from = float('-inf')
+
     def _update_kept_digest(self) -> None:
         self.kept_digest = self._operator_records.find_digest(self.operator_era)
 
@@ -522,32 +513,3 @@
                 if known.report.failure_domain == domain
             ],
         )
-
-
-def _build_listing(snapshot: Snapshot) -> RecordListing:
-    """Return what another entry has of the operator's records."""
-    kept_names = frozenset(snapshot.kept_names)
-    disputed_by_name = {
-        record.name: record for record in snapshot.disputed_records
-    }
-    listed_by_name = dict(disputed_by_name)
-    told_by_name: dict[str, OperatorRecord] = {}
-    for record in snapshot.operator_records:
-        is_listed = (
-            record.name not in kept_names
-            and record.era == snapshot.operator_era
-        )
-        by_name = listed_by_name if is_listed else told_by_name
-        by_name[record.name] = record
-    return RecordListing(
-        era=snapshot.operator_era,
-        end=snapshot.operator_end,
-        listed_by_name=listed_by_name,
-        told_by_name=told_by_name,
-        disputed_by_name=disputed_by_name,
-        known_eras=snapshot.known_eras
-        or (
-            # Builds of formats 1 tell no eras.
-            KnownEra(snapshot.operator_era, snapshot.kept_age_s),
-        ),
-    )
--- a/tests/test_fault_barriers.py
+++ b/tests/test_fault_barriers.py
@@ -2,12 +2,14 @@
 
 import json
 import logging
+from functools import partial
 from random import Random
 
 import anyio
 import pytest
 
 from copperyard import fault_barriers
+from copperyard.datagram_socket import ReceivedDatagram
 from copperyard.entry_messages import Goodbye, Heartbeat, encode_message
 from copperyard.entry_peers import EntryPeers
 from copperyard.fault_barriers import run_controller
@@ -58,23 +60,20 @@
     handle = peers._handle_heartbeat
     monkeypatch.setattr(peers, '_send', lambda ip, content: None)
 
-    def receive(_):
+    def receive():
         if not contents:
             raise EOFError
-        return contents.pop(0)
+        return ReceivedDatagram(contents.pop(0), 0.0)
 
-    def fail(message):
+    def fail(message, arrived_at):
         if isinstance(message, Goodbye):
             raise ValueError
         handle(message, 1.0)
 
-    async def wait(_):
-        await anyio.sleep(0)
-
     monkeypatch.setattr(peers, '_handle', fail)
-    monkeypatch.setattr(anyio, 'wait_readable', wait)
+    monkeypatch.setattr(peers._socket, 'wait_readable', partial(anyio.sleep, 0))
+    monkeypatch.setattr(peers._socket, 'receive', receive)
     peers._socket.close()
-    peers._socket = type('Socket', (), {'recv': staticmethod(receive)})
     with pytest.raises(EOFError):
         await peers.receive()
     assert '127.0.0.3' in board.entry_ips
--- a/tests/test_lost_records.py
+++ b/tests/test_lost_records.py
@@ -433,7 +433,10 @@
     poller = StorePoller(board, behind, peers, None, BackendPool(), Random(1))
     board.clock.now += 5.0
     heartbeat = build_heartbeat(
-        operator_era=2, operator_end=3, operator_age_s=0.25
+        operator_era=2,
+        operator_end=3,
+        operator_age_s=0.25,
+        kept_digest=first.kept_digest,
     )
     peers._compare_positions(heartbeat, board.clock())
     read_at = board.clock() - 0.25
--- a/tests/test_store_poller.py
+++ b/tests/test_store_poller.py
@@ -20,13 +20,11 @@
     StoreUnavailable,
 )
 from copperyard.metrics import Metrics
+from copperyard.read_schedules import RETRY_DELAY_MAX_S
 from copperyard.read_turns import SERVERS_MAX_AGE_S, START_WAIT_S
 from copperyard.server_table import ERA_STEP_MAX, ServerGone
 from copperyard.store_eras import StoreEras
-from copperyard.store_poller import (
-    RETRY_DELAY_MAX_S,
-    StorePoller,
-)
+from copperyard.store_poller import StorePoller
 from copperyard.store_replica import StoreReplica
 from tests.entry_builders import (
     ManualClock,
