Test API keys: decisions, waiting requests, forwarding and processes

Cause: the checks of keys had no tests of their own.

The stand-ins configure tenants and keep repeated headers.

--- a/tests/entry_builders.py
+++ b/tests/entry_builders.py
@@ -66,11 +66,12 @@
     return Route(**{**fields, **changes})
 
 
-def build_route_table(*routes, version=1):
+def build_route_table(*routes, version=1, tenants=None):
     """Build a configuration with the service ``ledger``.
 
     :param routes: its routes; the default is the one of ``build_route``.
     :param version: version of the configuration.
+    :param tenants: its tenants.
     """
     service = ServiceConfig(
         name='ledger',
@@ -83,6 +84,7 @@
         routes or (build_route(),),
         (service,),
         RequestLimits(),
+        tenants,
     )
 
 
--- a/tests/entry_processes.py
+++ b/tests/entry_processes.py
@@ -105,6 +105,7 @@
             'Host': 'h.example',
             'X-Request-Id': request_id,
             'X-Deadline-Ms': '900',
+            **options.get('headers', {}),
         }
         reader, writer = await asyncio.open_connection(
             self.ip, CALLER_PORT, local_addr=options.get('local_address')
--- a/tests/standins/platform.py
+++ b/tests/standins/platform.py
@@ -25,13 +25,17 @@
 
 @dataclass(slots=True)
 class Request:
-    """A parsed HTTP request; header names are in lower case."""
+    """A parsed HTTP request; header names are in lower case.
+
+    ``fields`` has repeated headers, too.
+    """
 
     method: str
     target: str
     headers: dict[str, str]
     body: bytes
     peer_ip: str = ''
+    fields: tuple[tuple[str, str], ...] = ()
 
 
 @dataclass(slots=True)
@@ -169,10 +173,13 @@
     head = (await reader.readuntil(b'\r\n\r\n')).decode('latin-1')
     request_line, *lines = head.rstrip('\r\n').split('\r\n')
     method, target, _ = request_line.split(' ')
-    fields = (line.split(':', 1) for line in lines)
-    headers = {name.lower(): value.strip() for name, value in fields}
+    split_lines = [line.split(':', 1) for line in lines]
+    fields = tuple((name.lower(), text.strip()) for name, text in split_lines)
+    headers = dict(fields)
     body = await reader.readexactly(int(headers.get('content-length', 0)))
-    request = Request(method, target, headers, body, _find_peer_ip(writer))
+    request = Request(
+        method, target, headers, body, _find_peer_ip(writer), fields
+    )
     response = await handler(request)
     if response.raw is not None:
         writer.write(response.raw)
@@ -503,10 +510,12 @@
         await self.listener.open()
 
 
-def build_configuration(version=1, **route_changes):
+def build_configuration(version=1, keys_by_tenant=None, **route_changes):
     """Return the platform's configuration of one service and three routes.
 
     :param version: configuration version; also part of the third route's path.
+    :param keys_by_tenant: API keys of the tenants; with any, there is a public
+        route as well.
     :param route_changes: values that replace fields of all routes.
     """
     shared_fields = {
@@ -523,6 +532,10 @@
         {**shared_fields, 'path-prefix': '/write/', 'type': 'unsafe'},
         {**shared_fields, 'path-prefix': f'/v{version}/', 'type': 'safe'},
     ]
+    tenants = keys_by_tenant or {}
+    if tenants:
+        public = {'path-prefix': '/public/', 'type': 'safe', 'public': True}
+        routes.append({**shared_fields, **public})
     service = {
         'health-path': '/health',
         'max-connections': 220,
@@ -555,6 +568,14 @@
     resources.append(
         {'resource-kind': 'limits', 'metadata': {}, 'spec': limits},
     )
+    resources.extend(
+        {
+            'resource-kind': 'tenants',
+            'metadata': {'name': name},
+            'spec': {'api-keys': keys},
+        }
+        for name, keys in tenants.items()
+    )
     return {'config-version': f'{version:08x}', 'resources': resources}
 
 
