Take an invalid head of an answer as a broken answer at once

Cause: an answer with a status from 600 to 999 reached the caller. One below 100 was taken for an interim head, so the caller waited for its whole deadline; so did one with a status below 200 and a body. httptools also accepts the versions 0.9 and 2.0 and the protocols RTSP and ICE.

Change: the parser refuses statuses outside 100 to 599, other versions and protocols, control characters in the reason, and interim heads that announce a body; the status already with the status line. Interim heads without a body stay allowed.

--- a/copperyard/http_codec.py
+++ b/copperyard/http_codec.py
@@ -24,6 +24,13 @@
 _CHUNKED: Final = b'chunked'
 _HOST: Final = b'host'
 _FINAL_STATUS_MIN: Final = 200
+# Interim heads, of which any number precedes the final one, and final heads.
+_VALID_STATUSES: Final = range(100, 600)
+_VERSIONS: Final = frozenset(('1.0', '1.1'))
+# httptools takes responses of two other protocols, too.
+_PROTOCOL: Final = b'HTTP/'
+_LINE_ENDS: Final = b'\r\n'
+_CONTROL_CHARACTER: Final = re.compile(rb'[\x00-\x08\x0a-\x1f\x7f]')
 _BODYLESS_STATUSES: Final = frozenset((204, 304))
 # An answer that was cut in its head goes on with the status line of the next.
 _STATUS_LINE_PATTERN: Final = re.compile(rb'HTTP/1\.[01] [1-5][0-9]{2}')
@@ -93,6 +100,8 @@
         self._has_body = has_body
         self._correlation_header = correlation_header
         self._allows_close_delimited = allows_close_delimited
+        # First bytes of the first response, until its protocol is known.
+        self._start: bytes | None = b''
         self._is_skipping_response = False
         self._is_reusable = False
         self._has_extra_bytes = False
@@ -121,6 +130,7 @@
             self._handle_stream_end()
             return
         self._non_body_bytes += len(content)
+        self._check_protocol(content)
         try:
             self._parser.feed_data(content)
         except (HttpParserError, HttpParserUpgrade) as error:
@@ -149,8 +159,12 @@
         self._reason = b''
 
     def on_status(self, part: bytes) -> None:
-        """Store the reason phrase, which may arrive in parts."""
+        """Store the reason phrase, which may arrive in parts.
+
+        The status is checked although the head may never be complete.
+        """
         self._reason += part
+        self._check_status_line()
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Store a header; trailer fields are ignored."""
@@ -164,9 +178,12 @@
         status = self._parser.get_status_code()
         if self.head is not None:
             return
+        self._check_status_line()
         self._check_head()
         if status >= _FINAL_STATUS_MIN:
             self._accept_head(_read_head(status, self._headers, self._has_body))
+        elif any(map(_announces_body, self._headers)):
+            raise HttpParserError(f'status {status} with a body')
         self._headers = []
 
     def on_body(self, part: bytes) -> None:
@@ -185,6 +202,28 @@
         if self.head is not None and not self.is_complete:
             self._complete()
 
+    def _check_protocol(self, content: bytes) -> None:
+        if self._start is None:
+            return
+        start = self._start
+        rest = content if start else content.lstrip(_LINE_ENDS)
+        start = (start + rest[: len(_PROTOCOL)])[: len(_PROTOCOL)]
+        if not _PROTOCOL.startswith(start):
+            raise HttpParserError('not HTTP')
+        self._start = None if start == _PROTOCOL else start
+
+    def _check_status_line(self) -> None:
+        """Refuse a status line that is malformed or of no known class."""
+        if self.head is not None:
+            return
+        status = self._parser.get_status_code()
+        if status not in _VALID_STATUSES:
+            raise HttpParserError(f'status {status}')
+        if self._parser.get_http_version() not in _VERSIONS:
+            raise HttpParserError('unknown HTTP version')
+        if _CONTROL_CHARACTER.search(self._reason):
+            raise HttpParserError('control character in the status line')
+
     def _check_head(self) -> None:
         """Refuse a head that consists of the heads of two responses."""
         values = [self._reason, *(value for _, value in self._headers)]
@@ -220,6 +259,13 @@
         self._is_reusable = self._parser.should_keep_alive()
 
 
+def _announces_body(header: Header) -> bool:
+    name, value = header
+    return name == _TRANSFER_ENCODING or (
+        name == _CONTENT_LENGTH and value.strip(b'0') != b''
+    )
+
+
 def encode_request(
     method: str,
     target: bytes,
