--- a/tests/test_key_processes.py
+++ b/tests/test_key_processes.py
@@ -33,15 +33,15 @@
 async def test_withdrawn_key_stops_and_no_key_is_disclosed(tmp_path):
     """Guards against keys that outlive the operator's word, or are disclosed.
 
-    A key is withdrawn while all entries run, and another one while an entry is
-    frozen with requests waiting. Then the store is away for longer than the
-    revocation time.
+    A key is withdrawn while the store refuses an entry, and another one while
+    that entry is frozen with requests waiting. Then the store is away for
+    longer than the revocation time.
     """
     server = PlatformServerStandIn('s1')
     async with run_platform(server) as platform:
         _configure(platform, 2, one=['key-1', 'key-2'], two=['key-3'])
         async with run_entries(
-            tmp_path, platform.store_address, *IPS
+            tmp_path, platform.store_address, *IPS, binds_source=True
         ) as entries:
             for entry in entries:
                 revoke = f'revoke-s = {REVOCATION_S}'
@@ -50,6 +50,8 @@
                 )
             await asyncio.sleep(0.5)
             await _check_tenants(entries, server)
+            # From here on it knows only what the other one reads.
+            platform.store.refused_ips = frozenset(IPS[1:])
             await _check_withdrawn(platform, entries)
             await _check_frozen(platform, entries[1], server)
             await _check_outage(platform, entries)
