--- a/tests/test_key_processes.py
+++ b/tests/test_key_processes.py
@@ -31,7 +31,7 @@
 
 
 async def test_withdrawn_key_stops_and_no_key_is_disclosed(tmp_path):
-    """Guards against keys that outlive the operator's word, or are disclosed.
+    """Guards against withdrawn keys that still work, and disclosed keys.
 
     A key is withdrawn while the store refuses an entry, and another one while
     that entry is frozen with requests waiting. Then the store is away for
