Decide roll-outs of server versions in entries: work so far

Cause: entries ignored the version of a server and took the operator's record of a roll-out for unreadable. Change: package rollouts with gates by version, canary budgets, judgement, coordination and a controller; orders and statuses in the adapter; page parsing moved out of it, dispatch steps out of dispatching.py.

--- a/copperyard/dispatching.py
+++ b/copperyard/dispatching.py
@@ -1,8 +1,8 @@
 """Dispatch of requests to backend servers, with retries and hedging."""
 
 from collections import defaultdict
-from collections.abc import Callable, Iterator
-from contextlib import ExitStack, contextmanager
+from collections.abc import Callable
+from contextlib import ExitStack
 from dataclasses import replace
 from functools import partial
 from typing import Final
@@ -21,9 +21,15 @@
 from copperyard.clock import MILLISECONDS_PER_S
 from copperyard.concurrency_estimates import NEARLY_FULL_SHARE
 from copperyard.crash_checks import BrokenRequest
+from copperyard.dispatch_helpers import (
+    check_then_discard,
+    closed_on_error,
+    ignore_crash,
+    is_encodable,
+    record_forward,
+)
 from copperyard.entry_board import EntryBoard
 from copperyard.exchanges import BackendPool, ForwardResult, StreamedResponse
-from copperyard.http_codec import encode_request
 from copperyard.load_probing import build_server_address
 from copperyard.load_reports import (
     record_leaving,
@@ -50,7 +56,7 @@
 from copperyard.platform import PLATFORM_DIALECT
 from copperyard.quarantines import find_quarantine_refusal
 from copperyard.request_states import DispatchOutcome, RequestState
-from copperyard.requests import CallerRequest
+from copperyard.rollouts.recording import record_result, record_send
 from copperyard.routes import Route
 from copperyard.server_table import KnownServer
 
@@ -74,10 +80,6 @@
 _SERVER_ERROR: Final = 500
 
 
-def _ignore(server: KnownServer, broken: BrokenRequest) -> None:
-    """Check nothing."""
-
-
 class Dispatcher:
     """Sends requests to backend servers and decides their outcomes.
 
@@ -94,7 +96,9 @@
         board: EntryBoard,
         pool: BackendPool,
         picker: ServerPicker,
-        check_crash: Callable[[KnownServer, BrokenRequest], None] = _ignore,
+        check_crash: Callable[
+            [KnownServer, BrokenRequest], None
+        ] = ignore_crash,
         forwarder: PeerForwarder | None = None,
     ) -> None:
         self._check_crash = check_crash
@@ -210,7 +214,7 @@
         attempts_left = state.route.max_attempts - state.attempts + 1
         state.attempts += attempts_left - 1
         result = await forwarder.forward(
-            state, attempts_left, partial(_record_forward, state, unsent_retry)
+            state, attempts_left, partial(record_forward, state, unsent_retry)
         )
         state.attempts += result.sends - attempts_left
         match result.outcome:
@@ -373,10 +377,8 @@
             result = await self._forward_attempt(state, server, attempt)
         finally:
             load.record_completion()
-            if result is None:
-                waited_s = board.clock() - sent_at
-                self._record_abandoned(state.route, server, waited_s, slowness)
-        with _closed_on_error(result):
+            self._record_end(state, server, result, sent_at, slowness)
+        with closed_on_error(result):
             self._record_result(server, result, sent_at)
             self._record_survival(state, server, result, sent_at)
             if isinstance(result, Answered) and result.status < _SERVER_ERROR:
@@ -398,7 +400,7 @@
             attempt = replace(
                 attempt,
                 may_send=partial(
-                    _check_then_discard, attempt.may_send, scopes, scope
+                    check_then_discard, attempt.may_send, scopes, scope
                 ),
             )
         result: ForwardResult | None = None
@@ -422,6 +424,19 @@
             state.possible_runs -= is_sent
         return result
 
+    def _record_end(
+        self,
+        state: RequestState,
+        server: KnownServer,
+        result: ForwardResult | None,
+        sent_at: float,
+        slowness: float,
+    ) -> None:
+        took_s = self._board.clock() - sent_at
+        record_result(self._board, state, server, result, took_s)
+        if result is None:
+            self._record_abandoned(state.route, server, took_s, slowness)
+
     def _record_abandoned(
         self,
         route: Route,
@@ -470,6 +485,7 @@
             for other in servers
         ):
             return False
+        record_send(self._board, state, server)
         state.possible_runs += 1
         unsent_retry.pop_all()
         return True
@@ -620,7 +636,7 @@
     def _build_refusal(
         self, state: RequestState, failure: AttemptFailure
     ) -> NotRun:
-        if failure.kind is FailureKind.INVALID and not _is_encodable(
+        if failure.kind is FailureKind.INVALID and not is_encodable(
             state.request
         ):
             return NotRun(RefusalReason.BAD_REQUEST, detail=failure.detail)
@@ -685,39 +701,3 @@
                 )
             case _:
                 return state.failure
-
-
-def _record_forward(state: RequestState, unsent_retry: ExitStack) -> bool:
-    """Count a request as sent; permit it to be sent."""
-    state.possible_runs += 1
-    unsent_retry.pop_all()
-    return True
-
-
-def _check_then_discard(
-    check: Callable[[], bool],
-    scopes: set[anyio.CancelScope],
-    scope: anyio.CancelScope,
-) -> bool:
-    """Keep a request that is about to be sent from being given up."""
-    if not check():
-        return False
-    scopes.discard(scope)
-    return True
-
-
-def _is_encodable(request: CallerRequest) -> bool:
-    """Return whether a request is valid without the headers for a server."""
-    encoded = encode_request(
-        request.method, request.target, request.headers, b''
-    )
-    return encoded is not None
-
-
-@contextmanager
-def _closed_on_error(result: ForwardResult) -> Iterator[None]:
-    with ExitStack() as stack:
-        if isinstance(result, StreamedResponse):
-            stack.enter_context(result)
-        yield
-        stack.pop_all()
--- a/copperyard/entry.py
+++ b/copperyard/entry.py
@@ -42,6 +42,7 @@
     PlatformStore,
     load_entry_settings,
 )
+from copperyard.rollouts.controller import RolloutController
 from copperyard.settings import split_address
 from copperyard.settings_reloader import SettingsReloader
 from copperyard.signal_mask import block_signals
@@ -157,6 +158,9 @@
             self._pool,
             self._random,
         )
+        rollouts = RolloutController(
+            self.board, self._replica, self._peers, self._store
+        )
         controllers_by_name = {
             'datagrams': self._peers.receive,
             'heartbeats': self._peers.run_heartbeats,
@@ -166,6 +170,8 @@
             'operator_records': poller.poll_operator_records,
             'servers': poller.poll_servers,
             'registration': poller.register,
+            'rollouts': rollouts.run,
+            'rollout_statuses': rollouts.run_statuses,
             'close_expired': self._close_expired,
             'settings': self._settings_reloader.run,
         }
--- a/copperyard/entry_board.py
+++ b/copperyard/entry_board.py
@@ -17,8 +17,9 @@
 from copperyard.logs import log_event
 from copperyard.metrics import Metrics
 from copperyard.processing_times import ProcessingTime
-from copperyard.rate_limits import NamedLimit, RateLimits
+from copperyard.rate_limits import NamedLimit, RateLimits, log_rate_limit
 from copperyard.request_fingerprints import RequestFingerprints
+from copperyard.rollouts.version_gates import VersionGates
 from copperyard.routes import Route, RouteTable, ServiceConfig
 from copperyard.server_links import ServerLinks
 from copperyard.server_loads import LoadSample, ServerLoad
@@ -55,6 +56,7 @@
     :param server_pauses: pauses that servers have asked this entry for.
     :param server_links: services whose servers this entry does not reach.
     :param crash_suspects: requests under which servers have ended.
+    :param rollouts: roll-outs, and what they permit by a server's version.
     :param waiting_requests_by_service: number of requests that wait for a
         backend server.
     :param has_unsent_updates: set while something has to be sent to other
@@ -89,6 +91,7 @@
     server_pauses: ServerPauses = field(default_factory=ServerPauses)
     server_links: ServerLinks = field(default_factory=ServerLinks)
     crash_suspects: CrashSuspects = field(default_factory=CrashSuspects)
+    rollouts: VersionGates = field(default_factory=VersionGates)
     waiting_requests_by_service: Counter[str] = field(default_factory=Counter)
     has_unsent_updates: Event = field(default_factory=Event)
     has_urgent_news: Event = field(default_factory=Event)
@@ -117,6 +120,10 @@
         default_factory=dict
     )
 
+    def __post_init__(self) -> None:
+        """Apply the bounds of the settings."""
+        self.rollouts.set_bounds(self.settings.bounds.rollout)
+
     @property
     def is_leaving(self) -> bool:
         """Return whether the process is shutting down."""
@@ -146,6 +153,7 @@
         """
         self.settings = settings
         bounds = settings.bounds
+        self.rollouts.set_bounds(bounds.rollout)
         for budget in self._retry_budgets_by_service.values():
             budget.ratio = bounds.retry_ratio
             budget.slack = bounds.retry_slack
@@ -327,13 +335,18 @@
         for removed_id in self.server_table.remove_due(now):
             self.loads_by_id.pop(removed_id, None)
             self.rate_limits.forget(removed_id)
-        if self._indexed_version != self.server_table.version:
+        rollouts = self.rollouts
+        if self._indexed_version != self.server_table.version + (
+            rollouts.version
+        ):
             self._index_servers()
-        return [
+        servers = [
             server
             for server in self._servers_by_service.get(service, ())
             if server.report.failure_domain not in self.domains_out
         ]
+        gate = rollouts.gates_by_service.get(service)
+        return servers if gate is None else gate.list_permitted(servers, now)
 
     def may_send_to_cold(self, server: KnownServer, now: float) -> bool:
         """Return whether this entry may send a request to a cold server.
@@ -379,8 +392,11 @@
         )
         if is_urgent:
             self.has_urgent_news.set()
-            self._log_rate_limit(
-                server.report.server_id, requests_per_s, self.settings.ip
+            log_rate_limit(
+                self.metrics,
+                server.report.server_id,
+                requests_per_s,
+                self.settings.ip,
             )
 
     def merge_rate_limit(
@@ -395,7 +411,9 @@
         """
         has_changed = self.rate_limits.merge(server_id, limit)
         if has_changed:
-            self._log_rate_limit(server_id, limit.requests_per_s, source_ip)
+            log_rate_limit(
+                self.metrics, server_id, limit.requests_per_s, source_ip
+            )
         return has_changed
 
     def record_leaving(
@@ -532,21 +550,6 @@
             self.server_table.servers_by_id.keys(), self.clock()
         )
 
-    def _log_rate_limit(
-        self, server_id: str, requests_per_s: float | None, source_ip: str
-    ) -> None:
-        if requests_per_s is None:
-            self.metrics.count('rate_limit.ended')
-            log_event('rate_limit_ended', server=server_id, source=source_ip)
-            return
-        self.metrics.count('rate_limit.named')
-        log_event(
-            'rate_limit_named',
-            server=server_id,
-            requests_per_s=requests_per_s,
-            source=source_ip,
-        )
-
     def require_health_checks(self, server_ids: list[str]) -> None:
         """Require a health check of servers before they get new requests.
 
@@ -566,4 +569,7 @@
             ):
                 servers_by_service[server.report.service].append(server)
         self._servers_by_service = dict(servers_by_service)
-        self._indexed_version = self.server_table.version
+        self.rollouts.rebuild(self.server_table.servers_by_id.values())
+        self._indexed_version = (
+            self.server_table.version + self.rollouts.version
+        )
--- a/copperyard/entry_messages.py
+++ b/copperyard/entry_messages.py
@@ -13,6 +13,7 @@
 from copperyard.message_formats import FORMATS_VERSION_MAX
 from copperyard.metadata_store import OperatorRecord
 from copperyard.request_fingerprints import FINGERPRINT_BYTES
+from copperyard.rollouts.messages import RolloutCounts, RolloutDirective
 from copperyard.server_table import (
     OFFSET_MAX,
     SERVER_ID_MAX,
@@ -346,6 +347,8 @@
     | ServerUpdate
     | LoadUpdate
     | Goodbye
+    | RolloutCounts
+    | RolloutDirective
 )
 
 
@@ -561,7 +564,12 @@
             return is_ipv4(ip) and is_ipv4(other)
         case HeardReport(ip=ip, heard_ip=other):
             return is_ipv4(ip) and is_ipv4(other)
-        case Heartbeat(ip=ip) | Goodbye(ip=ip):
+        case (
+            Heartbeat(ip=ip)
+            | Goodbye(ip=ip)
+            | RolloutCounts(ip=ip)
+            | RolloutDirective(ip=ip)
+        ):
             return is_ipv4(ip)
         case ServerUpdate(changes=changes, end=end):
             return all(_is_usable(change, end) for change in changes)
--- a/copperyard/metadata_store.py
+++ b/copperyard/metadata_store.py
@@ -6,6 +6,11 @@
 
 import msgspec
 
+from copperyard.rollouts.orders import (
+    RolloutChange,
+    RolloutStatus,
+    StatusListing,
+)
 from copperyard.routes import RouteTable
 from copperyard.server_table import OFFSET_MAX, Era, ServerChange
 
@@ -62,7 +67,7 @@
 
 
 OperatorChange: TypeAlias = (
-    ConfigurationChange | DomainChange | UnreadableRecord
+    ConfigurationChange | DomainChange | RolloutChange | UnreadableRecord
 )
 
 
@@ -203,6 +208,20 @@
         :param ip: IP address of the entry.
         """
 
+    async def read_rollout_statuses(self) -> StatusListing | StoreFailure:
+        """Read the statuses of all roll-outs."""
+
+    async def append_rollout_status(
+        self, status: RolloutStatus, end: int
+    ) -> StoreFailure | None:
+        """Append the status of a roll-out if the log still ends there.
+
+        :param status: the status.
+        :param end: offset at which the log ends.
+        :returns: ``None`` if it was appended. After a failure it may have been,
+            which a read shows.
+        """
+
     def decode_operator_record(self, record: OperatorRecord) -> OperatorChange:
         """Decode a record of the operator.
 
--- a/copperyard/operator_record_set.py
+++ b/copperyard/operator_record_set.py
@@ -19,6 +19,7 @@
     OperatorRecord,
     UnreadableRecord,
 )
+from copperyard.rollouts.orders import RolloutChange
 from copperyard.server_table import OFFSET_MAX
 
 # How long a lost evacuation, or the lost end of one, counts against the copy
@@ -138,7 +139,7 @@
                     return
                 self._versions_by_name[name] = routes.version
                 yield self._take(record), change
-            case DomainChange():
+            case DomainChange() | RolloutChange():
                 yield self._take(record), change
 
     def settle(self, listing: RecordListing, now: float) -> list[Effect]:
@@ -265,7 +266,7 @@
         match change:
             case ConfigurationChange():
                 yield from self._settle_configuration(name, listed, told)
-            case DomainChange():
+            case DomainChange() | RolloutChange():
                 yield from self._settle_domain(name, listed, listing, now)
             case UnreadableRecord() if listed is not None:
                 yield from self.put(listed)
--- a/copperyard/picking.py
+++ b/copperyard/picking.py
@@ -1,7 +1,7 @@
 """Selection of a backend server for each request."""
 
 from collections.abc import Callable, Collection, Iterator, Sequence
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from random import Random
 from typing import Final
 
@@ -113,6 +113,7 @@
     :param excluded_ids: ids of servers that the request was sent to before.
     :param options: requirements of the request.
     :param is_exploring: whether the cost of a new connection is ignored.
+    :param is_canary: whether it is for the new version of a roll-out.
     :param probed_ids: ids of servers that have been probed for the request.
     """
 
@@ -120,6 +121,7 @@
     excluded_ids: Collection[str] = ()
     options: PickOptions = field(default_factory=PickOptions)
     is_exploring: bool = False
+    is_canary: bool = False
     probed_ids: set[str] = field(default_factory=set)
 
 
@@ -167,13 +169,43 @@
         waiting = self._board.waiting_requests_by_service
         waiting[service] += 1
         try:
-            picked = await self._pick(state)
+            picked = await self._pick_version(state)
         finally:
             waiting[service] -= 1
         if isinstance(picked, KnownServer):
             self._check_if_due(picked)
         return picked
 
+    async def _pick_version(self, state: _PickState) -> KnownServer | NotRun:
+        """Pick a server of the new version if it is its turn.
+
+        Requests that have been sent before go to the old one, which also gets
+        what no new server takes at once.
+        """
+        gate = self._board.rollouts.gates_by_service.get(state.service)
+        is_repeated = state.options.is_hedge or bool(state.excluded_ids)
+        if (
+            gate is not None
+            and not is_repeated
+            and gate.take_turn(self._board.clock())
+        ):
+            options = replace(state.options, wait_max_s=0.0)
+            picked = await self._pick(
+                replace(state, options=options, is_canary=True)
+            )
+            if isinstance(picked, KnownServer):
+                return picked
+        return await self._pick(state)
+
+    def _list_servers(
+        self, state: _PickState, now: float
+    ) -> Sequence[KnownServer]:
+        servers = self._board.list_servers(state.service, now)
+        gate = self._board.rollouts.gates_by_service.get(state.service)
+        if gate is None or not gate.is_divided:
+            return servers
+        return gate.prefer(servers, is_canary=state.is_canary)
+
     async def _pick(self, state: _PickState) -> KnownServer | NotRun:
         wait_deadline = self._board.clock() + state.options.wait_max_s
         for finished_rounds in range(PROBE_ROUNDS_MAX):
@@ -351,7 +383,7 @@
         self, state: _PickState, now: float
     ) -> Iterator[tuple[KnownServer, ServerLoad]]:
         board = self._board
-        for server in board.list_servers(state.service, now):
+        for server in self._list_servers(state, now):
             load = board.find_load(server)
             is_excluded = server.report.server_id in state.excluded_ids
             if (
@@ -418,7 +450,7 @@
         now = self._board.clock()
         candidates = [
             self._build_candidate(server, state, now)
-            for server in self._board.list_servers(state.service, now)
+            for server in self._list_servers(state, now)
             if server.report.server_id not in state.probed_ids
             and server.report.server_id not in state.excluded_ids
         ]
--- a/copperyard/platform/operator_records.py
+++ b/copperyard/platform/operator_records.py
@@ -1,10 +1,16 @@
 """Decodes the operator's configuration; names the keys of its records."""
 
 import re
-from typing import Annotated, Final
+from typing import Annotated, Final, TypeVar
 
 import msgspec
 
+from copperyard.rollouts.orders import (
+    OrderPosition,
+    RolloutOrder,
+    RolloutState,
+    RolloutStatus,
+)
 from copperyard.routes import (
     RequestLimits,
     Route,
@@ -12,6 +18,7 @@
     ServiceConfig,
     WeightedService,
 )
+from copperyard.server_table import Name
 from copperyard.tenants.tenant_table import (
     Tenant,
     TenantKeys,
@@ -23,7 +30,10 @@
 # A record under this prefix takes a failure domain out of service until it is
 # deleted.
 EVACUATION_PREFIX: Final = 'evacuate/'
+# Orders of the operator, and the statuses that answer them.
+ROLLOUT_PREFIX: Final = 'rollout/'
 
+_Decoded = TypeVar('_Decoded')
 _IDEMPOTENT: Final = frozenset(('safe', 'download'))
 _VERSION_PATTERN: Final = re.compile('[0-9a-fA-F]{8}')
 # Health paths are sent in request lines.
@@ -83,6 +93,20 @@
     idle_timeout_s: _Seconds
 
 
+class _RolloutSpec(msgspec.Struct, frozen=True, rename='kebab'):
+    service: str
+    target_version: Name
+    duration_s: _Seconds
+
+
+class _RolloutStatus(msgspec.Struct, frozen=True, rename='kebab'):
+    state: RolloutState
+    target_version: Name
+    # Position of the order, which only copperyard reads.
+    order_era: int = -1
+    order_offset: int = -1
+
+
 class _Resource(msgspec.Struct, frozen=True, rename='kebab'):
     resource_kind: str
     spec: msgspec.Raw
@@ -109,6 +133,46 @@
         return None
 
 
+def _decode(value: bytes, kind: type[_Decoded]) -> _Decoded | None:
+    try:
+        return msgspec.json.decode(value, type=kind)
+    except (msgspec.DecodeError, ValueError, RecursionError):
+        return None
+
+
+def decode_rollout(service: str, value: bytes) -> RolloutOrder | None:
+    """Decode an order to move a service to another version.
+
+    :param service: name of the service, from the key of the record.
+    :param value: the order as JSON.
+    :returns: ``None`` if it is invalid or names another service.
+    """
+    spec = _decode(value, _RolloutSpec)
+    if spec is None or spec.service != service or not spec.target_version:
+        return None
+    return RolloutOrder(service, spec.target_version, spec.duration_s)
+
+
+def decode_rollout_status(key: str, value: bytes) -> RolloutStatus | None:
+    """Decode the status of a roll-out; ``None`` if it is none or invalid."""
+    status = _decode(value, _RolloutStatus)
+    if status is None:
+        return None
+    # An order has a position of 0 or more.
+    position = OrderPosition(status.order_era, status.order_offset)
+    service = key.removeprefix(ROLLOUT_PREFIX)
+    return RolloutStatus(service, status.state, status.target_version, position)
+
+
+def encode_rollout_status(status: RolloutStatus) -> tuple[str, bytes]:
+    """Return key and value of the record with the status of a roll-out."""
+    position = status.position
+    encoded = _RolloutStatus(
+        status.state, status.target_version, position.era, position.offset
+    )
+    return ROLLOUT_PREFIX + status.service, msgspec.json.encode(encoded)
+
+
 def _build_route_table(configuration: _Configuration) -> RouteTable:
     routes = []
     services = []
--- a/copperyard/platform/settings.py
+++ b/copperyard/platform/settings.py
@@ -1,6 +1,5 @@
 """Decodes the settings file of the platform into ``EntrySettings``."""
 
-import tomllib
 from pathlib import Path
 from typing import Annotated, Any, Final
 
@@ -15,7 +14,7 @@
     RolloutBounds,
 )
 from copperyard.exceptions import SettingsError
-from copperyard.settings_fields import FieldReader
+from copperyard.settings_fields import FieldReader, load_toml
 
 SETTINGS_VARIABLE: Final = 'COPPERYARD_CONFIG'
 
@@ -42,13 +41,7 @@
     :param path: TOML file.
     :returns: the settings, or the first error.
     """
-    try:
-        raw = tomllib.loads(path.read_text())
-    except OSError as error:
-        return Failure(SettingsError('$', 'a readable file', str(error)))
-    except (ValueError, RecursionError) as error:
-        return Failure(SettingsError('$', 'valid TOML', str(error)))
-    return decode_settings(raw)
+    return load_toml(path).bind(decode_settings)
 
 
 def decode_settings(
--- a/copperyard/platform/store.py
+++ b/copperyard/platform/store.py
@@ -1,9 +1,8 @@
 """Client of the platform's metadata store."""
 
-import json
 from collections.abc import Mapping
 from functools import partial
-from typing import Any, Final
+from typing import Final
 from urllib.parse import urlencode
 
 import msgspec
@@ -34,23 +33,31 @@
 from copperyard.platform.operator_records import (
     CONFIGURATION_KEY,
     EVACUATION_PREFIX,
+    ROLLOUT_PREFIX,
     decode_configuration,
+    decode_rollout,
+    decode_rollout_status,
+    encode_rollout_status,
 )
 from copperyard.platform.server_registrations import (
     decode_server_registration,
     is_invalid,
 )
-from copperyard.server_table import Offset, ServerChange, ServerGone
+from copperyard.rollouts.orders import (
+    RolloutChange,
+    RolloutStatus,
+    StatusListing,
+)
+from copperyard.store_batches import (
+    StorePage,
+    build_server_batch,
+    decode_damaged_page,
+    join_pages,
+    parse_page,
+)
 from copperyard.store_eras import StoreEras
 from copperyard.store_pages import read_pages
-from copperyard.stored_records import (
-    OFFSETS,
-    StoredRecord,
-    convert_record,
-    encode_record,
-    parse_records,
-)
-from copperyard.turns import take_turns
+from copperyard.stored_records import encode_record
 
 # A slow store takes 60 times its usual 4 ms, and the slowest link takes 2.2 s
 # for the longest response.
@@ -63,30 +70,16 @@
 _SERVERS_TOPIC: Final = 'keyed.servers'
 # Topics that begin with "keyed." retain the newest record of each key.
 _ENTRIES_TOPIC: Final = 'keyed.entries'
+_STATUS_TOPIC: Final = 'keyed.status'
 # Replaces the bytes of a key that are not valid UTF-8.
 _REPLACEMENT: Final = '\ufffd'
 
 
-class _Page(msgspec.Struct, frozen=True, rename='kebab'):
-    # The records; the field has the same name in the responses to other calls.
-    items: tuple[StoredRecord, ...]
-    end_offset: Offset
-    has_more: bool = False
-    # Told in a header.
-    era: int = 0
-
-
 class _Response(msgspec.Struct, frozen=True):
     body: bytes
     era: int
 
 
-class _UncheckedPage(msgspec.Struct, frozen=True, rename='kebab'):
-    items: tuple[Any, ...]
-    end_offset: Offset
-    has_more: bool = False
-
-
 class PlatformStore:
     """Reads and writes the metadata store over HTTP.
 
@@ -112,23 +105,21 @@
         return self._eras.newest
 
     async def read_servers(
-        self,
-        start: int | None,
+        self, start: int | None
     ) -> ServerBatch | StoreFailure:
         """Read changes of backend servers.
 
         :param start: first offset to read; ``None`` reads all servers.
         """
         page = await self._read_records(_SERVERS_TOPIC, start)
-        if not isinstance(page, _Page):
+        if not isinstance(page, StorePage):
             return page
-        return await _build_server_batch(
-            start or 0, page, is_full=start is None
+        return await build_server_batch(
+            start, page, decode_server_registration, is_invalid
         )
 
     async def read_operator_records(
-        self,
-        start: int | None,
+        self, start: int | None
     ) -> OperatorBatch | StoreFailure:
         """Read records of the operator.
 
@@ -136,11 +127,14 @@
             of each name.
         """
         page = await self._read_records(_OPERATOR_TOPIC, start)
-        if not isinstance(page, _Page):
+        if not isinstance(page, StorePage):
             return page
         return OperatorBatch(
             end=page.end_offset,
-            records=_build_operator_records(page),
+            records=tuple(
+                OperatorRecord(item.key, item.value, item.offset, page.era)
+                for item in page.items
+            ),
             is_full=start is None,
             era=page.era,
             has_more=page.has_more,
@@ -149,7 +143,7 @@
     async def read_entry_ips(self) -> tuple[str, ...] | StoreFailure:
         """Read the IP addresses of all registered entries."""
         page = await self._read_newest(_ENTRIES_TOPIC)
-        if not isinstance(page, _Page):
+        if not isinstance(page, StorePage):
             return page
         return tuple(item.key for item in page.items if item.value)
 
@@ -167,6 +161,34 @@
         """
         return await self._append_entry(ip, b'')
 
+    async def read_rollout_statuses(self) -> StatusListing | StoreFailure:
+        """Read the statuses of all roll-outs."""
+        page = await self._read_newest(_STATUS_TOPIC)
+        if not isinstance(page, StorePage):
+            return page
+        statuses = (
+            decode_rollout_status(it.key, it.value) for it in page.items
+        )
+        return StatusListing(
+            page.end_offset,
+            page.era,
+            {status.service: status for status in statuses if status},
+        )
+
+    async def append_rollout_status(
+        self, status: RolloutStatus, end: int
+    ) -> StoreFailure | None:
+        """Append the status of a roll-out if the log still ends there.
+
+        :param status: the status.
+        :param end: offset at which the log ends.
+        """
+        response = await self._fetch(
+            _build_target('append', _STATUS_TOPIC, {'at': end}),
+            encode_record(*encode_rollout_status(status)),
+        )
+        return None if isinstance(response, _Response) else response
+
     def decode_operator_record(self, record: OperatorRecord) -> OperatorChange:
         """Decode a record of the operator.
 
@@ -178,6 +200,11 @@
         if record.name.startswith(EVACUATION_PREFIX):
             domain = record.name.removeprefix(EVACUATION_PREFIX)
             return DomainChange(domain, is_out=bool(record.value))
+        if record.name.startswith(ROLLOUT_PREFIX):
+            service = record.name.removeprefix(ROLLOUT_PREFIX)
+            order = decode_rollout(service, record.value)
+            if order is not None or not record.value:
+                return RolloutChange(service, order)
         if record.name == CONFIGURATION_KEY:
             routes = decode_configuration(record.value)
             if routes is not None:
@@ -195,7 +222,7 @@
 
     async def _read_records(
         self, topic: str, start: int | None
-    ) -> _Page | StoreFailure:
+    ) -> StorePage | StoreFailure:
         if start is None:
             return await self._read_newest(topic)
         response = await self._fetch(
@@ -203,65 +230,36 @@
                 'read', topic, {'from': start, 'max-kb': READ_MAX_KB}
             ),
         )
-        if isinstance(response, _Response):
-            return await self._parse_body(response, start)
-        return response
+        if not isinstance(response, _Response):
+            return response
+        page, is_cut_off = await parse_page(response.body, start, response.era)
+        if is_cut_off:
+            self._metrics.count('store.response_cut_off')
+            log_event('store_response_cut_off', records=len(page.items))
+            if not page.items:
+                return StoreUnavailable('response is cut off')
+        return page
 
-    async def _read_newest(self, topic: str) -> _Page | StoreFailure:
+    async def _read_newest(self, topic: str) -> StorePage | StoreFailure:
         pages = await read_pages(partial(self._read_page, topic))
-        if not isinstance(pages, list):
-            return pages
-        # The pages are not one consistent snapshot. The end offset of the first
-        # one makes the next read repeat what has changed since.
-        return msgspec.structs.replace(
-            pages[0],
-            items=tuple(item for page in pages for item in page.items),
-            has_more=False,
-        )
+        return join_pages(pages) if isinstance(pages, list) else pages
 
-    async def _read_page(self, topic: str, after: str) -> _Page | StoreFailure:
+    async def _read_page(
+        self, topic: str, after: str
+    ) -> StorePage | StoreFailure:
         response = await self._fetch(
             _build_target('newest', topic, {'after': after} if after else {}),
         )
         if not isinstance(response, _Response):
             return response
         try:
-            page = msgspec.json.decode(response.body, type=_Page)
+            page = msgspec.json.decode(response.body, type=StorePage)
         except (msgspec.DecodeError, RecursionError) as error:
             self._metrics.count('store.page_damaged')
             log_event('store_page_damaged', reason=str(error))
-            return _decode_damaged_page(response)
+            return decode_damaged_page(response.body, response.era)
         return msgspec.structs.replace(page, era=response.era)
 
-    async def _parse_body(
-        self, response: _Response, start: int
-    ) -> _Page | StoreUnavailable:
-        """Parse the response to a read.
-
-        If it is cut off, its complete records count; the next read begins
-        after them.
-        """
-        records: list[StoredRecord] = []
-        end = OFFSETS.size
-        async for record, record_end in take_turns(
-            parse_records(response.body, start)
-        ):
-            records.append(record)
-            end = record_end
-        if end != len(response.body):
-            self._metrics.count('store.response_cut_off')
-            log_event('store_response_cut_off', records=len(records))
-            if not records:
-                return StoreUnavailable('response is cut off')
-        log_end, _ = OFFSETS.unpack_from(response.body)
-        read_end = start + len(records)
-        return _Page(
-            tuple(records),
-            read_end,
-            has_more=log_end > read_end,
-            era=response.era,
-        )
-
     async def _fetch(
         self, target: str, body: bytes | None = None
     ) -> _Response | StoreFailure:
@@ -291,57 +289,9 @@
         )
 
 
-async def _build_server_batch(
-    start: int, page: _Page, *, is_full: bool = False
-) -> ServerBatch:
-    changes: list[ServerChange] = []
-    damaged_ids: list[str] = []
-    async for item in take_turns(page.items):
-        if not item.key or is_invalid(item.key, item.value):
-            damaged_ids.append(item.key)
-        change = decode_server_registration(item.key, item.value, item.offset)
-        if item.key and not (is_full and isinstance(change, ServerGone)):
-            changes.append(change)
-    return ServerBatch(
-        start=start,
-        end=page.end_offset,
-        changes=tuple(changes),
-        is_full=is_full,
-        damaged_ids=tuple(damaged_ids),
-        era=page.era,
-        has_more=page.has_more,
-    )
-
-
 def _build_target(
-    operation: str,
-    topic: str,
-    parameters: Mapping[str, str | int],
+    operation: str, topic: str, parameters: Mapping[str, str | int]
 ) -> str:
     # All topics used here have a single partition, "part" 0.
     query = urlencode({'topic': topic, 'part': 0, **parameters})
     return f'/copperyard/log-{operation}?{query}'
-
-
-def _build_operator_records(page: _Page) -> tuple[OperatorRecord, ...]:
-    return tuple(
-        OperatorRecord(item.key, item.value, item.offset, page.era)
-        for item in page.items
-    )
-
-
-def _decode_damaged_page(response: _Response) -> _Page | StoreUnavailable:
-    """Decode a page record by record, so that one record hides no other."""
-    try:
-        page = msgspec.convert(
-            json.loads(response.body.decode('utf-8', 'replace')),
-            _UncheckedPage,
-        )
-    except (ValueError, RecursionError) as error:
-        return StoreUnavailable(f'damaged page: {error}')
-    return _Page(
-        tuple(convert_record(item) for item in page.items),
-        page.end_offset,
-        page.has_more,
-        response.era,
-    )
--- a/copperyard/rate_limits.py
+++ b/copperyard/rate_limits.py
@@ -5,6 +5,8 @@
 from dataclasses import dataclass
 from typing import Final
 
+from copperyard.logs import log_event
+from copperyard.metrics import Metrics
 from copperyard.sender_selection import is_chosen_sender
 from copperyard.server_table import ServerReport
 
@@ -220,3 +222,29 @@
     if limit is None or limit.requests_per_s is None:
         return math.inf
     return limit.requests_per_s
+
+
+def log_rate_limit(
+    metrics: Metrics,
+    server_id: str,
+    requests_per_s: float | None,
+    source_ip: str,
+) -> None:
+    """Count and log a limit that a server has named, or its end.
+
+    :param metrics: counters of the process.
+    :param server_id: id of the server.
+    :param requests_per_s: the limit; ``None`` if it has ended.
+    :param source_ip: IP address of the entry that learned it.
+    """
+    if requests_per_s is None:
+        metrics.count('rate_limit.ended')
+        log_event('rate_limit_ended', server=server_id, source=source_ip)
+        return
+    metrics.count('rate_limit.named')
+    log_event(
+        'rate_limit_named',
+        server=server_id,
+        requests_per_s=requests_per_s,
+        source=source_ip,
+    )
--- /dev/null
+++ b/copperyard/rollouts/coordination.py
@@ -0,0 +1,357 @@
+"""The coordinator's part of a roll-out: sums counts and decides the outcome.
+
+This module has no network, no clock and no task.
+"""
+
+from collections import deque
+from dataclasses import dataclass
+from enum import Enum, auto
+from typing import Final
+
+from copperyard.rollouts.judgement import (
+    CountKey,
+    Finding,
+    Tally,
+    count_new_answers,
+    judge,
+    sum_tallies,
+)
+from copperyard.rollouts.messages import RolloutCounts, Stage
+from copperyard.rollouts.orders import RolloutState, RolloutStatus
+from copperyard.rollouts.progress import RolloutProgress
+
+# An entry whose counts are older does not count as heard from.
+COUNTS_FRESH_S: Final = 1.2
+# Without counts from this share of the entries that may be running, the other
+# part of a divided network may have a coordinator of its own.
+QUORUM_SHARE: Final = 0.5
+# Shares of the duration: a good version is complete from the first one on; one
+# in doubt from the second one on; one of which too little is known is rolled
+# back at the third one. The rest is for the store's write.
+DECISION_SHARE: Final = 0.65
+LATE_DECISION_SHARE: Final = 0.82
+LAST_DECISION_SHARE: Final = 0.88
+# Results of the new version that a decision for it requires, and a late one.
+ANSWERS_MIN: Final = 12
+LATE_ANSWERS_MIN: Final = 6
+# The counts of this time are judged apart, so that earlier good responses do
+# not hide a version that turns bad.
+WINDOW_S: Final = 3.0
+SNAPSHOT_INTERVAL_S: Final = 0.5
+# The old servers stop at once when the roll-out is complete, so the new ones
+# need this share of their slots, or so many times those in use.
+SLOTS_SHARE: Final = 0.7
+BUSY_SLOTS_FACTOR: Final = 2.0
+# Share of the canary slack at which the coordinator permits no further
+# requests, whatever the entries' own budgets say.
+SLACK_PERMITTED: Final = 0.85
+# If all entries have started anew, nobody knows how old an order is that the
+# store says is running. It is taken to be this share of its duration old.
+UNKNOWN_AGE_SHARE: Final = 0.3
+# Earlier processes of entries whose counts are kept.
+PROCESSES_KEPT: Final = 4096
+
+_NEVER: Final = float('-inf')
+
+
+@dataclass(frozen=True, slots=True)
+class Capacity:
+    """Slots of the servers of a service that take requests.
+
+    :param new_slots: slots of warm servers of the target version.
+    :param old_slots: slots of all other servers.
+    :param busy_slots: slots of those that are in use.
+    """
+
+    new_slots: int
+    old_slots: int
+    busy_slots: int
+
+    @property
+    def is_enough(self) -> bool:
+        """Return whether the new servers can replace the old ones."""
+        return self.new_slots > 0 and (
+            self.new_slots >= SLOTS_SHARE * self.old_slots
+            or self.new_slots >= BUSY_SLOTS_FACTOR * max(1, self.busy_slots)
+        )
+
+
+class Reason(Enum):
+    """Why a roll-out was decided."""
+
+    GOOD = auto()
+    BAD = auto()
+    IN_DOUBT = auto()
+    FEW_ANSWERS = auto()
+    FEW_SERVERS = auto()
+    TOLD = auto()
+    NO_EARLIER = auto()
+
+
+@dataclass(frozen=True, slots=True)
+class Verdict:
+    """The outcome of a roll-out, which the store may not have yet.
+
+    :param state: its final state.
+    :param reason: why.
+    """
+
+    state: RolloutState
+    reason: Reason
+
+
+@dataclass(frozen=True, slots=True)
+class _Received:
+    """Counts of one process of an entry, and when they arrived."""
+
+    counts: RolloutCounts
+    received_at: float
+
+
+@dataclass(frozen=True, slots=True)
+class _Snapshot:
+    """Sums of all counts, and when they were taken."""
+
+    taken_at: float
+    sums: dict[CountKey, Tally]
+
+
+class Coordination:
+    """Decides on one order from the counts of all entries.
+
+    :param progress: the order, and what this entry has counted itself.
+    :param now: ``CLOCK_BOOTTIME`` in seconds.
+    """
+
+    def __init__(self, progress: RolloutProgress, now: float) -> None:
+        self.progress = progress
+        self.verdict: Verdict | None = None
+        # Whether the store has a status of this order.
+        self.is_begun = False
+        self._started_at = min(now, progress.known_since)
+        self._received: dict[tuple[str, int], _Received] = {}
+        self._held_until = _NEVER
+        self._snapshots: deque[_Snapshot] = deque()
+
+    def receive(self, counts: RolloutCounts, now: float) -> None:
+        """Apply the counts of an entry; older ones change nothing.
+
+        :param counts: the counts.
+        :param now: ``CLOCK_BOOTTIME`` in seconds.
+        """
+        if not _is_consistent(counts):
+            return
+        key = (counts.ip, counts.incarnation)
+        known = self._received.get(key)
+        if known is not None and known.counts.sequence >= counts.sequence:
+            return
+        if known is None and len(self._received) >= PROCESSES_KEPT:
+            return
+        is_fresh = now >= self._held_until
+        self._received[key] = _Received(counts, now if is_fresh else _NEVER)
+        self._started_at = min(self._started_at, now - counts.age_s)
+        if counts.is_stopped and not self._is_against():
+            self.verdict = Verdict(RolloutState.ROLLED_BACK, Reason.TOLD)
+
+    def forget_freshness(self, now: float) -> None:
+        """Count no entry as heard from, after this one has stood still.
+
+        Messages that have waited meanwhile are read now and look recent.
+
+        :param now: ``CLOCK_BOOTTIME`` in seconds.
+        """
+        self._held_until = now + COUNTS_FRESH_S
+        self._received = {
+            key: _Received(received.counts, _NEVER)
+            for key, received in self._received.items()
+        }
+
+    def begin(self, *, was_running: bool) -> None:
+        """Record that the store has the status ``running``.
+
+        :param was_running: whether another process had written it.
+        """
+        self.is_begun = True
+        if was_running and not self._knows_age():
+            self._started_at -= (
+                UNKNOWN_AGE_SHARE * self.progress.order.duration_s
+            )
+
+    def find_stage(self, now: float, known_entries: int) -> Stage:
+        """Return what an entry that has sent its counts is told.
+
+        :param now: ``CLOCK_BOOTTIME`` in seconds.
+        :param known_entries: number of entries that may be running.
+        """
+        if self.progress.is_final:
+            return self.progress.stage
+        if self._is_against():
+            return Stage.STOPPED
+        is_permitted = (
+            self.is_begun
+            and self._has_quorum(now, known_entries)
+            and self._is_within_budget()
+        )
+        return Stage.RUNNING if is_permitted else Stage.WAITING
+
+    def decide(
+        self, now: float, known_entries: int, capacity: Capacity
+    ) -> Verdict | None:
+        """Decide the outcome if it is time to.
+
+        A verdict against the new version is never taken back, one for it is
+        until the store has it.
+
+        :param now: ``CLOCK_BOOTTIME`` in seconds.
+        :param known_entries: number of entries that may be running.
+        :param capacity: slots of the service's servers.
+        :returns: the verdict; ``None`` while there is none.
+        """
+        if self._is_against() or not self.is_begun:
+            return self.verdict
+        finding = self._judge(now)
+        if finding is Finding.BAD:
+            self.verdict = Verdict(RolloutState.ROLLED_BACK, Reason.BAD)
+        elif self._has_quorum(now, known_entries):
+            age = (now - self._started_at) / max(
+                0.001, self.progress.order.duration_s
+            )
+            self.verdict = self._decide_by_age(age, finding, capacity)
+        return self.verdict
+
+    def sum_counts(self) -> dict[CountKey, Tally]:
+        """Return the sums of the counts of all entries."""
+        return sum_tallies(
+            [_read_tallies(one.counts) for one in self._received.values()]
+        )
+
+    def count_sends(self) -> tuple[int, int]:
+        """Return all requests to the service, and sends to the new version."""
+        requests = canary_sends = 0
+        for received in self._received.values():
+            requests += received.counts.requests
+            canary_sends += received.counts.canary_sends
+        return requests, canary_sends
+
+    def _is_against(self) -> bool:
+        return (
+            self.verdict is not None
+            and self.verdict.state is RolloutState.ROLLED_BACK
+        )
+
+    def _decide_by_age(
+        self, age: float, finding: Finding, capacity: Capacity
+    ) -> Verdict | None:
+        if age < DECISION_SHARE:
+            return None
+        obstacle = self._find_obstacle(age, finding, capacity)
+        if obstacle is None:
+            has_earlier = capacity.old_slots > 0
+            return Verdict(
+                RolloutState.COMPLETE,
+                Reason.GOOD if has_earlier else Reason.NO_EARLIER,
+            )
+        if age < LAST_DECISION_SHARE:
+            return None
+        return Verdict(RolloutState.ROLLED_BACK, obstacle)
+
+    def _find_obstacle(
+        self, age: float, finding: Finding, capacity: Capacity
+    ) -> Reason | None:
+        """Return what speaks against completing the roll-out now."""
+        if finding is not Finding.GOOD:
+            return Reason.IN_DOUBT
+        if not capacity.is_enough:
+            return Reason.FEW_SERVERS
+        if not capacity.old_slots:
+            return None
+        answers_min = ANSWERS_MIN
+        if age >= LATE_DECISION_SHARE:
+            answers_min = LATE_ANSWERS_MIN
+        if count_new_answers(self.sum_counts()) < answers_min:
+            return Reason.FEW_ANSWERS
+        return None
+
+    def _judge(self, now: float) -> Finding:
+        """Judge all counts, and those of the latest seconds."""
+        sums = self.sum_counts()
+        if not sums:
+            return Finding.GOOD
+        if (
+            not self._snapshots
+            or now - self._snapshots[-1].taken_at >= SNAPSHOT_INTERVAL_S
+        ):
+            self._snapshots.append(_Snapshot(now, sums))
+        while len(self._snapshots) > 1 and (
+            self._snapshots[1].taken_at <= now - WINDOW_S
+        ):
+            self._snapshots.popleft()
+        first = self._snapshots[0]
+        findings = [judge(sums)]
+        if now - first.taken_at >= WINDOW_S:
+            findings.append(judge(sum_tallies((sums, first.sums), -1)))
+        return max(findings)
+
+    def _knows_age(self) -> bool:
+        duration_s = self.progress.order.duration_s
+        newest = max(
+            (one.counts.age_s for one in self._received.values()), default=0.0
+        )
+        return newest >= UNKNOWN_AGE_SHARE * duration_s
+
+    def _has_quorum(self, now: float, known_entries: int) -> bool:
+        ips = {
+            ip
+            for (ip, _), received in self._received.items()
+            if now - received.received_at <= COUNTS_FRESH_S
+        }
+        return len(ips) > QUORUM_SHARE * known_entries
+
+    def _is_within_budget(self) -> bool:
+        requests, canary_sends = self.count_sends()
+        bounds = self.progress.bounds
+        return canary_sends <= (
+            bounds.canary_share * requests
+            + SLACK_PERMITTED * bounds.canary_slack
+        )
+
+
+def _read_tallies(counts: RolloutCounts) -> dict[CountKey, Tally]:
+    return {
+        CountKey(one.route, one.is_new): Tally(
+            one.answers,
+            one.failures,
+            one.timed,
+            one.log_sum,
+            one.square_sum,
+        )
+        for one in counts.counts
+    }
+
+
+def _is_consistent(counts: RolloutCounts) -> bool:
+    return all(
+        max(one.failures, one.timed) <= one.answers for one in counts.counts
+    )
+
+
+def find_adopted_state(
+    status: RolloutStatus | None,
+    progress: RolloutProgress,
+    due: RolloutState,
+) -> RolloutState | None:
+    """Return the state of a roll-out that the store has and that counts.
+
+    A final state of this order counts against anything decided here.
+
+    :param status: the status of the service in the store.
+    :param progress: the roll-out.
+    :param due: the state that it is to have as far as this entry knows.
+    :returns: ``None`` if the due state has to be written.
+    """
+    if status is None or status.position != progress.position:
+        return None
+    if status.target_version != progress.order.target_version:
+        return None
+    is_settled = status.state is due or status.state is not RolloutState.RUNNING
+    return status.state if is_settled else None
--- a/copperyard/settings_fields.py
+++ b/copperyard/settings_fields.py
@@ -1,8 +1,11 @@
 """Reads typed fields of a settings file; keeps the first error."""
 
+import tomllib
+from pathlib import Path
 from typing import Any, Final, TypeVar, cast
 
 import msgspec
+from returns.result import Failure, Result, Success
 
 from copperyard.exceptions import SettingsError
 from copperyard.settings import is_address, is_ipv4
@@ -13,6 +16,20 @@
 _Value = TypeVar('_Value')
 
 
+def load_toml(path: Path) -> Result[dict[str, Any], SettingsError]:
+    """Read and parse a settings file.
+
+    :param path: TOML file.
+    :returns: its content, or why it cannot be read.
+    """
+    try:
+        return Success(tomllib.loads(path.read_text()))
+    except OSError as error:
+        return Failure(SettingsError('$', 'a readable file', str(error)))
+    except (ValueError, RecursionError) as error:
+        return Failure(SettingsError('$', 'valid TOML', str(error)))
+
+
 class FieldReader:
     """Reads single fields and keeps the first error.
 
--- a/copperyard/store_replica.py
+++ b/copperyard/store_replica.py
@@ -10,7 +10,6 @@
 from copperyard.bounded_logs import EVENT_LINES_PER_S
 from copperyard.entry_board import EntryBoard
 from copperyard.entry_messages import ServerUpdate, Snapshot
-from copperyard.known_eras import KnownEra
 from copperyard.logs import log_event
 from copperyard.metadata_store import (
     ConfigurationChange,
@@ -26,6 +25,9 @@
     OperatorRecordSet,
     RecordListing,
 )
+from copperyard.record_listings import build_listing
+from copperyard.rollouts.orders import RolloutChange
+from copperyard.rollouts.recording import apply_rollout_change
 from copperyard.routes import RouteTable
 from copperyard.server_table import ServerChange, is_plausible_era
 
@@ -342,7 +344,7 @@
             and self.operator_end != NEVER_READ
         )
         if is_operator_new:
-            self._settle(_build_listing(snapshot))
+            self._settle(build_listing(snapshot))
             self._advance_operator(position)
         if (snapshot.servers_era, snapshot.servers_end) > (
             self.servers_position
@@ -476,6 +478,13 @@
                     self._apply_configuration(record, routes)
                 case DomainChange(failure_domain=domain, is_out=is_out):
                     self._set_domain_out(domain, is_out=is_out)
+                case RolloutChange():
+                    apply_rollout_change(
+                        self._board,
+                        change,
+                        record,
+                        is_initial=self.operator_end == NEVER_READ,
+                    )
                 case UnreadableRecord(name=name):
                     self._board.metrics.count('operator_record.damaged')
                     log_event('operator_record_damaged', name=name)
@@ -522,32 +531,3 @@
                 if known.report.failure_domain == domain
             ],
         )
-
-
-def _build_listing(snapshot: Snapshot) -> RecordListing:
-    """Return what another entry has of the operator's records."""
-    kept_names = frozenset(snapshot.kept_names)
-    disputed_by_name = {
-        record.name: record for record in snapshot.disputed_records
-    }
-    listed_by_name = dict(disputed_by_name)
-    told_by_name: dict[str, OperatorRecord] = {}
-    for record in snapshot.operator_records:
-        is_listed = (
-            record.name not in kept_names
-            and record.era == snapshot.operator_era
-        )
-        by_name = listed_by_name if is_listed else told_by_name
-        by_name[record.name] = record
-    return RecordListing(
-        era=snapshot.operator_era,
-        end=snapshot.operator_end,
-        listed_by_name=listed_by_name,
-        told_by_name=told_by_name,
-        disputed_by_name=disputed_by_name,
-        known_eras=snapshot.known_eras
-        or (
-            # Builds of formats 1 tell no eras.
-            KnownEra(snapshot.operator_era, snapshot.kept_age_s),
-        ),
-    )
--- a/tests/standins/platform.py
+++ b/tests/standins/platform.py
@@ -323,6 +323,9 @@
                 int(query.get('max-kb', READ_MAX_KB)) * BYTES_PER_KB,
             )
         if operation == 'log-append':
+            if int(query.get('at', len(records))) != len(records):
+                end = {'end-offset': len(records)}
+                return Response(412, body=_encode_json(end))
             return self._append(records, request.body)
         return Response(404)
 
