--- a/copperyard/rollouts/controller.py
+++ b/copperyard/rollouts/controller.py
@@ -45,6 +45,10 @@
 STORE_LOST_S: Final = 1.2
 STORE_LOST_WAIT_S: Final = 5.0
 STORE_RETRY_S: Final = 0.25
+# An entry without a permission for this time asks another entry at each of its
+# messages, and a coordinator the store at this interval: the outcome may have
+# been decided while it was cut off.
+UNANSWERED_S: Final = 2.0
 # How often an outcome is sent to all entries; those that miss it ask again.
 ANNOUNCEMENTS: Final = 3
 # Oldest formats version of an entry that can coordinate.
@@ -83,6 +87,7 @@
         self._excluded_until: dict[str, float] = {}
         self._counts_due_at: dict[str, float] = {}
         self._announcements: dict[str, int] = {}
+        self._synchronized_at: dict[str, float] = {}
         self._ticked_at = board.clock()
         self._store_failed_since: float | None = None
         peers.handlers_by_type[RolloutCounts] = self.handle_counts
@@ -195,6 +200,8 @@
     ) -> None:
         own_ip = self._board.settings.ip
         counts = progress.describe(own_ip, self._incarnation, now)
+        if progress.is_unanswered(now, UNANSWERED_S):
+            self._ask_other(counts, now)
         if coordinator != own_ip:
             self._peers.send_message(coordinator, counts)
             return
@@ -205,6 +212,13 @@
             progress, self._build_directive(progress, stage, counts.sequence)
         )
 
+    def _ask_other(self, counts: RolloutCounts, now: float) -> None:
+        """Send counts to another entry, which answers if it has the outcome."""
+        alive = self._peers.list_alive(now)
+        if alive:
+            peer = alive[counts.sequence % len(alive)]
+            self._peers.send_message(peer.heartbeat.ip, counts)
+
     def _decide(self, coordination: Coordination, now: float) -> None:
         progress = coordination.progress
         before = coordination.verdict
@@ -304,7 +318,14 @@
         if progress.is_final:
             # A store that has returned from a copy may have lost the status.
             return self._find_era() > progress.final_era
-        return not coordination.is_begun or coordination.verdict is not None
+        if not coordination.is_begun or coordination.verdict is not None:
+            return True
+        now = self._board.clock()
+        asked_at = self._synchronized_at.get(progress.order.service, now)
+        return (
+            progress.is_unanswered(now, UNANSWERED_S)
+            and now - asked_at >= UNANSWERED_S
+        )
 
     def _find_era(self) -> int:
         return max(self._store.newest_era, self._replica.era)
@@ -325,6 +346,7 @@
         if listing.era < self._find_era():
             return f'era {listing.era} is outdated'
         progress = coordination.progress
+        self._synchronized_at[service] = self._board.clock()
         status = listing.statuses_by_service.get(service)
         state = find_adopted_state(status, progress, _find_due(coordination))
         if state is None:
--- a/copperyard/rollouts/coordination.py
+++ b/copperyard/rollouts/coordination.py
@@ -3,6 +3,7 @@
 This module has no network, no clock and no task.
 """
 
+import math
 from collections import deque
 from dataclasses import dataclass
 from enum import Enum, auto
@@ -12,7 +13,7 @@
     CountKey,
     Finding,
     Tally,
-    count_new_answers,
+    is_trusted,
     judge,
     sum_tallies,
 )
@@ -26,28 +27,26 @@
 # part of a divided network may have a coordinator of its own.
 QUORUM_SHARE: Final = 0.5
 # Shares of the duration: a good version is complete from the first one on; one
-# in doubt from the second one on; one of which too little is known is rolled
-# back at the third one. The rest is for the store's write.
-DECISION_SHARE: Final = 0.65
-LATE_DECISION_SHARE: Final = 0.82
+# in doubt, or of which too little is known, is rolled back at the second one.
+# The rest is for the store's write.
+DECISION_SHARE: Final = 0.7
 LAST_DECISION_SHARE: Final = 0.88
-# Results of the new version that a decision for it requires, and a late one.
-ANSWERS_MIN: Final = 12
-LATE_ANSWERS_MIN: Final = 6
-# The counts of this time are judged apart, so that earlier good responses do
+# The counts of these times are judged apart, so that earlier good responses do
 # not hide a version that turns bad.
-WINDOW_S: Final = 3.0
+WINDOWS_S: Final = (1.5, 3.0)
 SNAPSHOT_INTERVAL_S: Final = 0.5
+SNAPSHOTS_KEPT: Final = 8
 # The old servers stop at once when the roll-out is complete, so the new ones
-# need this share of their slots, or so many times those in use.
-SLOTS_SHARE: Final = 0.7
-BUSY_SLOTS_FACTOR: Final = 2.0
+# need this share of their slots.
+SLOTS_SHARE: Final = 0.6
 # Share of the canary slack at which the coordinator permits no further
 # requests, whatever the entries' own budgets say.
 SLACK_PERMITTED: Final = 0.85
 # If all entries have started anew, nobody knows how old an order is that the
 # store says is running. It is taken to be this share of its duration old.
 UNKNOWN_AGE_SHARE: Final = 0.3
+# A shorter duration is taken for this one.
+DURATION_MIN_S: Final = 0.001
 # Earlier processes of entries whose counts are kept.
 PROCESSES_KEPT: Final = 4096
 
@@ -60,20 +59,16 @@
 
     :param new_slots: slots of warm servers of the target version.
     :param old_slots: slots of all other servers.
-    :param busy_slots: slots of those that are in use.
     """
 
     new_slots: int
     old_slots: int
-    busy_slots: int
 
     @property
     def is_enough(self) -> bool:
         """Return whether the new servers can replace the old ones."""
-        return self.new_slots > 0 and (
-            self.new_slots >= SLOTS_SHARE * self.old_slots
-            or self.new_slots >= BUSY_SLOTS_FACTOR * max(1, self.busy_slots)
-        )
+        least_slots = max(1, SLOTS_SHARE * self.old_slots)
+        return self.new_slots >= least_slots
 
 
 class Reason(Enum):
@@ -128,10 +123,14 @@
         self.verdict: Verdict | None = None
         # Whether the store has a status of this order.
         self.is_begun = False
-        self._started_at = min(now, progress.known_since)
+        self._was_running = False
+        # When the order was given, and when an entry found it at its start.
+        self._ordered_at = math.inf
+        self._found_at = now
+        self._record_age(progress.known_since, is_initial=progress.is_initial)
         self._received: dict[tuple[str, int], _Received] = {}
         self._held_until = _NEVER
-        self._snapshots: deque[_Snapshot] = deque()
+        self._snapshots: deque[_Snapshot] = deque(maxlen=SNAPSHOTS_KEPT)
 
     def receive(self, counts: RolloutCounts, now: float) -> None:
         """Apply the counts of an entry; older ones change nothing.
@@ -149,7 +148,7 @@
             return
         is_fresh = now >= self._held_until
         self._received[key] = _Received(counts, now if is_fresh else _NEVER)
-        self._started_at = min(self._started_at, now - counts.age_s)
+        self._record_age(now - counts.age_s, is_initial=counts.is_initial)
         if counts.is_stopped and not self._is_against():
             self.verdict = Verdict(RolloutState.ROLLED_BACK, Reason.TOLD)
 
@@ -172,10 +171,7 @@
         :param was_running: whether another process had written it.
         """
         self.is_begun = True
-        if was_running and not self._knows_age():
-            self._started_at -= (
-                UNKNOWN_AGE_SHARE * self.progress.order.duration_s
-            )
+        self._was_running = was_running
 
     def find_stage(self, now: float, known_entries: int) -> Stage:
         """Return what an entry that has sent its counts is told.
@@ -213,10 +209,9 @@
         if finding is Finding.BAD:
             self.verdict = Verdict(RolloutState.ROLLED_BACK, Reason.BAD)
         elif self._has_quorum(now, known_entries):
-            age = (now - self._started_at) / max(
-                0.001, self.progress.order.duration_s
+            self.verdict = self._decide_by_age(
+                self._find_age(now), finding, capacity
             )
-            self.verdict = self._decide_by_age(age, finding, capacity)
         return self.verdict
 
     def sum_counts(self) -> dict[CountKey, Tally]:
@@ -233,6 +228,11 @@
             canary_sends += received.counts.canary_sends
         return requests, canary_sends
 
+    def _record_age(self, known_since: float, *, is_initial: bool) -> None:
+        self._found_at = min(self._found_at, known_since)
+        if not is_initial:
+            self._ordered_at = min(self._ordered_at, known_since)
+
     def _is_against(self) -> bool:
         return (
             self.verdict is not None
@@ -244,7 +244,7 @@
     ) -> Verdict | None:
         if age < DECISION_SHARE:
             return None
-        obstacle = self._find_obstacle(age, finding, capacity)
+        obstacle = self._find_obstacle(finding, capacity)
         if obstacle is None:
             has_earlier = capacity.old_slots > 0
             return Verdict(
@@ -256,7 +256,7 @@
         return Verdict(RolloutState.ROLLED_BACK, obstacle)
 
     def _find_obstacle(
-        self, age: float, finding: Finding, capacity: Capacity
+        self, finding: Finding, capacity: Capacity
     ) -> Reason | None:
         """Return what speaks against completing the roll-out now."""
         if finding is not Finding.GOOD:
@@ -265,12 +265,9 @@
             return Reason.FEW_SERVERS
         if not capacity.old_slots:
             return None
-        answers_min = ANSWERS_MIN
-        if age >= LATE_DECISION_SHARE:
-            answers_min = LATE_ANSWERS_MIN
-        if count_new_answers(self.sum_counts()) < answers_min:
-            return Reason.FEW_ANSWERS
-        return None
+        if is_trusted(self.sum_counts()):
+            return None
+        return Reason.FEW_ANSWERS
 
     def _judge(self, now: float) -> Finding:
         """Judge all counts, and those of the latest seconds."""
@@ -282,22 +279,25 @@
             or now - self._snapshots[-1].taken_at >= SNAPSHOT_INTERVAL_S
         ):
             self._snapshots.append(_Snapshot(now, sums))
-        while len(self._snapshots) > 1 and (
-            self._snapshots[1].taken_at <= now - WINDOW_S
-        ):
-            self._snapshots.popleft()
-        first = self._snapshots[0]
         findings = [judge(sums)]
-        if now - first.taken_at >= WINDOW_S:
-            findings.append(judge(sum_tallies((sums, first.sums), -1)))
+        for window_s in WINDOWS_S:
+            before = self._find_before(now - window_s)
+            if before is not None:
+                findings.append(judge(sum_tallies((sums, before), -1)))
         return max(findings)
 
-    def _knows_age(self) -> bool:
-        duration_s = self.progress.order.duration_s
-        newest = max(
-            (one.counts.age_s for one in self._received.values()), default=0.0
-        )
-        return newest >= UNKNOWN_AGE_SHARE * duration_s
+    def _find_before(self, time: float) -> dict[CountKey, Tally] | None:
+        """Return the newest sums that are older than a time."""
+        older = [one for one in self._snapshots if one.taken_at <= time]
+        return older[-1].sums if older else None
+
+    def _find_age(self, now: float) -> float:
+        """Return the age of the order as a share of its duration."""
+        duration_s = max(DURATION_MIN_S, self.progress.order.duration_s)
+        if self._ordered_at < math.inf:
+            return (now - self._ordered_at) / duration_s
+        age = (now - self._found_at) / duration_s
+        return age + UNKNOWN_AGE_SHARE * self._was_running
 
     def _has_quorum(self, now: float, known_entries: int) -> bool:
         ips = {
--- a/copperyard/rollouts/messages.py
+++ b/copperyard/rollouts/messages.py
@@ -73,6 +73,8 @@
     :param is_stopped: whether the sender has been told that the target version
         is bad.
     :param counts: responses by route and version.
+    :param is_initial: whether the sender has found the order when it started,
+        so that the order may be older than ``age_s``.
     """
 
     ip: str
@@ -88,6 +90,7 @@
     counts: Annotated[
         tuple[VersionCounts, ...], msgspec.Meta(max_length=LISTED_COUNTS_MAX)
     ]
+    is_initial: bool = False
 
 
 class RolloutDirective(
--- a/copperyard/rollouts/progress.py
+++ b/copperyard/rollouts/progress.py
@@ -21,7 +21,7 @@
 PERMISSION_S: Final = 1.5
 # Share of the canary slack that all entries together use; the rest is for sends
 # that two entries count differently.
-SLACK_USED: Final = 0.8
+SLACK_USED: Final = 0.85
 # Standard deviations of the sum of all entries' rounding errors that the slack
 # has to hold. One entry's error, with a random part of a request in its budget,
 # has a standard deviation of at most half a request.
@@ -29,7 +29,7 @@
 ROUNDING_DEVIATION_MAX: Final = 0.5
 # The credit of an entry grows to its full size in this share of the duration,
 # so that the first seconds do not use up what is needed for the later ones.
-CREDIT_RAMP_SHARE: Final = 0.4
+CREDIT_RAMP_SHARE: Final = 0.3
 # While one request is on its way to the new version, no other one is picked for
 # it. A pick takes up to 25 ms, and a connection some more.
 TURN_S: Final = 0.1
@@ -40,7 +40,7 @@
 
 
 def find_credit(
-    bounds: RolloutBounds, entries: int, draw: float, *, is_initial: bool
+    bounds: RolloutBounds, entries: int, draw: float, *, is_used: bool
 ) -> float:
     """Return the part of the canary slack that one entry may use.
 
@@ -51,14 +51,13 @@
     :param bounds: bounds of the platform.
     :param entries: number of entries that may be running.
     :param draw: a random number of at least 0 and below 1.
-    :param is_initial: whether this entry has found the order when it started,
-        so that its earlier process may have used the part.
+    :param is_used: whether the part may have been used before: by an earlier
+        process of this entry, or for an earlier order.
     """
     slack = SLACK_USED * bounds.canary_slack
     part = slack / entries
     noise = ROUNDING_DEVIATIONS * ROUNDING_DEVIATION_MAX * math.sqrt(entries)
-    if is_initial:
-        # An earlier process may have used its part, but rounds on its own.
+    if is_used:
         return draw if noise < slack else draw * min(1.0, part)
     if part >= 1 or noise >= slack:
         return part
@@ -78,6 +77,7 @@
     :param stage: how far the roll-out has come.
     :param permitted_until: until when the coordinator permits requests to the
         new version, on the same clock.
+    :param is_initial: whether this entry has found the order when it started.
     :param final_era: era of the store in which a final stage became known.
     """
 
@@ -89,6 +89,7 @@
     stage: Stage = Stage.WAITING
     permitted_until: float = _NEVER
     final_era: int = 0
+    is_initial: bool = False
     requests: int = 0
     canary_sends: int = 0
     tallies: dict[CountKey, Tally] = field(default_factory=dict)
@@ -106,6 +107,15 @@
         """Return whether the new version has been permitted requests."""
         return self.permitted_until > _NEVER
 
+    def is_unanswered(self, now: float, wait_s: float) -> bool:
+        """Return whether there has been no permission for some time.
+
+        :param now: ``CLOCK_BOOTTIME`` in seconds.
+        :param wait_s: the time in seconds.
+        """
+        permitted_at = self.permitted_until - PERMISSION_S
+        return now - max(permitted_at, self.known_since) >= wait_s
+
     def find_budget(self, now: float) -> float:
         """Return how many requests the new version may get now.
 
@@ -205,6 +215,7 @@
                 )
                 for key, tally in self.tallies.items()
             ),
+            is_initial=self.is_initial,
         )
 
     def apply(
--- a/copperyard/rollouts/recording.py
+++ b/copperyard/rollouts/recording.py
@@ -147,20 +147,18 @@
     :param progress: the roll-out of the service.
     """
     now = board.clock()
-    new_slots = old_slots = busy_slots = 0
+    new_slots = old_slots = 0
     for server in board.server_table.servers_by_id.values():
         report = server.report
         if report.service != progress.order.service or not _is_usable(
             board, server
         ):
             continue
-        load = board.find_load(server)
         if report.version != progress.order.target_version:
             old_slots += report.slots
-            busy_slots += min(report.slots, load.count_active_requests())
-        elif not load.is_cold(now):
+        elif not board.find_load(server).is_cold(now):
             new_slots += report.slots
-    return Capacity(new_slots, old_slots, busy_slots)
+    return Capacity(new_slots, old_slots)
 
 
 def _is_usable(board: EntryBoard, server: KnownServer) -> bool:
--- a/copperyard/rollouts/version_gates.py
+++ b/copperyard/rollouts/version_gates.py
@@ -182,11 +182,11 @@
             return False
         # A further order for the same version gets no further slack.
         target = (order.service, order.target_version)
-        is_initial = is_initial or target in self._ordered_targets
+        is_used = is_initial or target in self._ordered_targets
         self._ordered_targets.add(target)
-        credit = find_credit(self.bounds, entries, draw, is_initial=is_initial)
+        credit = find_credit(self.bounds, entries, draw, is_used=is_used)
         self.progress_by_service[order.service] = RolloutProgress(
-            order, position, now, self.bounds, credit
+            order, position, now, self.bounds, credit, is_initial=is_initial
         )
         self.version += 1
         return True
