Test hooks of roll-outs and real processes; bound how fast budget is spent

Cause: budget saved while the new servers are cold was spent at once, which could overload the few warm ones; an outcome was announced 0.1 s late.

--- a/copperyard/rollouts/controller.py
+++ b/copperyard/rollouts/controller.py
@@ -234,7 +234,12 @@
             self._apply(
                 progress, self._build_directive(progress, Stage.STOPPED, 0)
             )
-            self._announcements[progress.order.service] = ANNOUNCEMENTS
+            self._begin_announcing(progress)
+
+    def _begin_announcing(self, progress: RolloutProgress) -> None:
+        service = progress.order.service
+        self._announcements[service] = ANNOUNCEMENTS
+        self._announce(service, progress)
 
     def _announce(self, service: str, progress: RolloutProgress) -> None:
         """Tell all entries an outcome; each message may be lost."""
@@ -381,7 +386,7 @@
         self._apply(
             progress, self._build_directive(progress, _STAGES[state], 0)
         )
-        self._announcements[progress.order.service] = ANNOUNCEMENTS
+        self._begin_announcing(progress)
 
     def _record_store_failure(self, reason: str, now: float) -> None:
         self._board.metrics.count('rollout.status_failed')
--- a/copperyard/rollouts/progress.py
+++ b/copperyard/rollouts/progress.py
@@ -33,10 +33,15 @@
 # While one request is on its way to the new version, no other one is picked for
 # it. A pick takes up to 25 ms, and a connection some more.
 TURN_S: Final = 0.1
+# At most this multiple of the canary share of an entry's requests goes to the
+# new version one after another. Budget that has been saved while the new servers
+# were cold would otherwise overload those that are warm first.
+CATCH_UP_FACTOR: Final = 2.0
 # Numbers of messages of which the time is remembered.
 SENT_KEPT: Final = 8
 
 _NEVER: Final = float('-inf')
+_SHARE_MIN: Final = 0.001
 
 
 def find_credit(
@@ -94,6 +99,8 @@
     canary_sends: int = 0
     tallies: dict[CountKey, Tally] = field(default_factory=dict)
     _turn_until: float = _NEVER
+    # Requests when the new version got the last one.
+    _canary_requests: float = _NEVER
     _sequence: int = 0
     _sent_at_by_sequence: dict[int, float] = field(default_factory=dict)
 
@@ -143,6 +150,11 @@
 
         :param now: ``CLOCK_BOOTTIME`` in seconds.
         """
+        spacing = 1 / max(
+            CATCH_UP_FACTOR * self.bounds.canary_share, _SHARE_MIN
+        )
+        if self.requests < self._canary_requests + spacing:
+            return False
         if now < self._turn_until or not self.may_send(now):
             return False
         self._turn_until = now + TURN_S
@@ -157,6 +169,7 @@
         self.requests += is_first
         if is_new:
             self.canary_sends += 1
+            self._canary_requests = self.requests
             self._turn_until = _NEVER
 
     def record_result(
--- a/tests/entry_processes.py
+++ b/tests/entry_processes.py
@@ -24,7 +24,7 @@
 ip = "{ip}"
 zone = "{zone}"
 internal-port-range = [{entries}, 17735]
-seeds = ["127.0.0.21:1"]
+seeds = ["{seed}:1"]
 [listen]
 edge-address = "{ip}:{callers}"
 readiness = "{ip}:{readiness}"
@@ -39,6 +39,7 @@
 warmup-overage = 1.5
 warmup-slack = 5
 ttl_max_s = 5
+{bounds}
 [platform]
 address = "{store}"
 """
@@ -47,11 +48,22 @@
 class Entry:
     """An entry process, and a client for its interfaces.
 
+    :param seed: IP address of the entry to contact first.
+    :param bounds: further lines of the settings' table of that name.
     :param code: folder with the code of another build; ``None`` for this one.
     """
 
     def __init__(
-        self, ip, folder, store, zone='a', *, binds_source=False, code=None
+        self,
+        ip,
+        folder,
+        store,
+        zone='a',
+        *,
+        binds_source=False,
+        bounds='',
+        seed='127.0.0.21',
+        code=None,
     ):
         self.ip = ip
         self.client = HttpClient()
@@ -61,6 +73,8 @@
                 ip=ip,
                 zone=zone,
                 store=store,
+                bounds=bounds,
+                seed=seed,
                 entries=ENTRY_PORT,
                 callers=CALLER_PORT,
                 readiness=READINESS_PORT,
@@ -149,11 +163,9 @@
 
 
 @asynccontextmanager
-async def run_entries(folder, store, *ips, binds_source=False):
+async def run_entries(folder, store, *ips, **options):
     """Run ready entry processes, and kill them at the end."""
-    started = [
-        Entry(ip, folder, store, binds_source=binds_source) for ip in ips
-    ]
+    started = [Entry(ip, folder, store, **options) for ip in ips]
     try:
         for entry in started:
             assert await wait_until(entry.is_ready, 15)
--- a/tests/standins/platform.py
+++ b/tests/standins/platform.py
@@ -275,13 +275,13 @@
     def put_server(self, server_id, address, **changes):
         """Append the metadata entry of a backend server.
 
-        :param changes: values that replace the default ``zone``, ``capacity``
-            and ``born`` and the default fields of ``status``.
+        :param changes: values that replace the default ``version``, ``zone``,
+            ``capacity`` and ``born`` and the default fields of ``status``.
         """
         status = {'state': 'ready', 'sequence': 1, 'warmup-left-s': 0}
         info = {
             'service': 'ledger',
-            'config-version': 'v1',
+            'config-version': changes.pop('version', 'v1'),
             'zone': changes.pop('zone', 'a'),
             'capacity': changes.pop('capacity', 4),
         }
@@ -397,6 +397,7 @@
     :ivar executed_request_ids: ids of the executed requests, by start time.
     :ivar received: all requests except health checks.
     :ivar probes: number of health checks.
+    :ivar failure_interval: every so many requests fail with a 500; 0 for none.
     :ivar raw_responses: raw bytes, each sent instead of the response to
         one request.
     """
@@ -424,6 +425,7 @@
         self.received = []
         self.probes = 0
         self.raw_responses = []
+        self.failure_interval = 0
 
     async def handle(self, request):
         """Handle a request or a health check."""
@@ -491,7 +493,11 @@
         }
         if self.named_limit:
             headers['Server-Limit'] = self.named_limit
-        return Response(200, headers, f'ran {request_id}'.encode())
+        is_failure = self.failure_interval and (
+            len(self.runs) % self.failure_interval == 0
+        )
+        status = 500 if is_failure else 200
+        return Response(status, headers, f'ran {request_id}'.encode())
 
     async def _crash(self, request_id):
         """Reset all connections, and accept none until it is back."""
