Look for the coordinator of a final roll-out at each exchange only

Cause: an order stays in the store after its outcome, and each entry ranked all others ten times a second for it.

--- a/copperyard/rollouts/controller.py
+++ b/copperyard/rollouts/controller.py
@@ -85,7 +85,8 @@
         self.coordinations: dict[str, Coordination] = {}
         self._coordinators: dict[str, str] = {}
         self._excluded_until: dict[str, float] = {}
-        self._counts_due_at: dict[str, float] = {}
+        # When counts are sent next, or the coordinator is looked for.
+        self._due_at: dict[str, float] = {}
         self._announcements: dict[str, int] = {}
         self._synchronized_at: dict[str, float] = {}
         self._ticked_at = board.clock()
@@ -177,6 +178,10 @@
     def _tick_service(
         self, service: str, progress: RolloutProgress, now: float
     ) -> None:
+        self._announce(service, progress)
+        is_due = now >= self._due_at.get(service, now)
+        if progress.is_final and not is_due:
+            return
         own_ip = self._board.settings.ip
         coordinator = self._find_coordinator(service, now)
         self._coordinators[service] = coordinator
@@ -185,11 +190,11 @@
             self.coordinations.pop(service, None)
         elif known is None or known.progress is not progress:
             self.coordinations[service] = Coordination(progress, now)
-        self._announce(service, progress)
+        if is_due:
+            self._due_at[service] = now + COUNTS_INTERVAL_S
         if progress.is_final:
             return
-        if now >= self._counts_due_at.get(service, now):
-            self._counts_due_at[service] = now + COUNTS_INTERVAL_S
+        if is_due:
             self._send_counts(coordinator, progress, now)
         coordination = self.coordinations.get(service)
         if coordination is not None:
--- a/copperyard/rollouts/progress.py
+++ b/copperyard/rollouts/progress.py
@@ -34,8 +34,8 @@
 # it. A pick takes up to 25 ms, and a connection some more.
 TURN_S: Final = 0.1
 # At most this multiple of the canary share of an entry's requests goes to the
-# new version one after another. Budget that has been saved while the new servers
-# were cold would otherwise overload those that are warm first.
+# new version one after another. Budget that has been saved while the new
+# servers were cold would otherwise overload those that are warm first.
 CATCH_UP_FACTOR: Final = 2.0
 # Numbers of messages of which the time is remembered.
 SENT_KEPT: Final = 8
