Count attempts without a response before their deadline in roll-outs

Cause: deadlines are up to 4.6 s; a version that stops to respond after five seconds of twelve would have been complete before a failure showed. Change: an attempt in flight for 1.5 times the target latency counts as a failure until it ends.

--- a/copperyard/rollouts/judgement.py
+++ b/copperyard/rollouts/judgement.py
@@ -196,8 +196,10 @@
 def _compare_failures(old: Tally, new: Tally) -> Finding:
     if new.failures < SUSPECT_FAILURES_MIN:
         return Finding.GOOD
-    weight = old.answers + ASSUMED_REQUESTS
-    rate = (old.failures + ASSUMED_FAILURE_RATE * ASSUMED_REQUESTS) / weight
+    weight = max(0, old.answers) + ASSUMED_REQUESTS
+    # Overdue attempts that have ended well meanwhile lower a later count.
+    failures = max(0, old.failures)
+    rate = (failures + ASSUMED_FAILURE_RATE * ASSUMED_REQUESTS) / weight
     error = math.sqrt(rate * (1 - min(1, rate)) / weight)
     expected_rate = min(1, rate + RATE_MARGIN * error + TOLERATED_RATE)
     chance = _find_tail(new.answers, new.failures, expected_rate)
--- a/copperyard/rollouts/progress.py
+++ b/copperyard/rollouts/progress.py
@@ -2,10 +2,11 @@
 
 import math
 from dataclasses import dataclass, field
+from itertools import islice
 from typing import Final
 
 from copperyard.entry_settings import RolloutBounds
-from copperyard.rollouts.judgement import CountKey, Tally
+from copperyard.rollouts.judgement import CountKey, Tally, sum_tallies
 from copperyard.rollouts.messages import (
     FINAL_STAGES,
     LISTED_COUNTS_MAX,
@@ -69,6 +70,26 @@
     return draw + (slack - noise) / entries
 
 
+@dataclass(frozen=True, slots=True)
+class AttemptKey:
+    """Identifies an attempt in flight.
+
+    :param request_id: id of the request.
+    :param server_id: id of the server.
+    """
+
+    request_id: str
+    server_id: str
+
+
+@dataclass(frozen=True, slots=True)
+class _Unanswered:
+    """An attempt in flight, and from when on it counts as a failure."""
+
+    key: CountKey
+    overdue_at: float
+
+
 @dataclass(slots=True)
 class RolloutProgress:
     """What an entry knows and has counted of one order.
@@ -98,6 +119,7 @@
     requests: int = 0
     canary_sends: int = 0
     tallies: dict[CountKey, Tally] = field(default_factory=dict)
+    _unanswered: dict[AttemptKey, _Unanswered] = field(default_factory=dict)
     _turn_until: float = _NEVER
     # Requests when the new version got the last one.
     _canary_requests: float = _NEVER
@@ -172,6 +194,25 @@
             self._canary_requests = self.requests
             self._turn_until = _NEVER
 
+    def begin_attempt(
+        self, attempt: AttemptKey, key: CountKey, overdue_at: float
+    ) -> None:
+        """Record an attempt that may never get a response.
+
+        :param attempt: the attempt.
+        :param key: route and version.
+        :param overdue_at: from when on it counts as a failure, until it ends,
+            ``CLOCK_BOOTTIME`` in seconds.
+        """
+        self._unanswered[attempt] = _Unanswered(key, overdue_at)
+
+    def end_attempt(self, attempt: AttemptKey) -> None:
+        """Record the end of an attempt, whatever its result.
+
+        :param attempt: the attempt.
+        """
+        self._unanswered.pop(attempt, None)
+
     def record_result(
         self,
         route: str,
@@ -226,7 +267,7 @@
                     tally.log_sum,
                     tally.square_sum,
                 )
-                for key, tally in self.tallies.items()
+                for key, tally in self._sum_tallies(now).items()
             ),
             is_initial=self.is_initial,
         )
@@ -254,6 +295,20 @@
             self._permit(directive.sequence)
         return self.stage is not before
 
+    def _sum_tallies(self, now: float) -> dict[CountKey, Tally]:
+        """Return all counts, with overdue attempts as failures."""
+        if not self.is_compared:
+            return {}
+        overdue: dict[CountKey, Tally] = {}
+        for unanswered in self._unanswered.values():
+            if unanswered.overdue_at <= now:
+                tally = overdue.setdefault(unanswered.key, Tally())
+                tally.record(is_failure=True)
+        if not overdue:
+            return self.tallies
+        sums = sum_tallies((self.tallies, overdue))
+        return dict(islice(sums.items(), LISTED_COUNTS_MAX))
+
     def _permit(self, sequence: int) -> None:
         sent_at = self._sent_at_by_sequence.get(sequence)
         if self.stage is Stage.STOPPED or sent_at is None:
--- a/copperyard/rollouts/recording.py
+++ b/copperyard/rollouts/recording.py
@@ -11,8 +11,9 @@
 from copperyard.rendezvous import score_member
 from copperyard.request_states import RequestState
 from copperyard.rollouts.coordination import Capacity
+from copperyard.rollouts.judgement import CountKey
 from copperyard.rollouts.orders import OrderPosition, RolloutChange
-from copperyard.rollouts.progress import RolloutProgress
+from copperyard.rollouts.progress import AttemptKey, RolloutProgress
 from copperyard.server_table import KnownServer
 
 # An attempt that is given up earlier says nothing of its server: the caller has
@@ -20,6 +21,10 @@
 ABANDONED_SHARE_MIN: Final = 0.4
 # Processing time of an attempt that is given up, relative to the time waited.
 ABANDONED_FACTOR: Final = 1.5
+# An attempt without a response counts as a failure from this multiple of the
+# target latency on, until it ends. Deadlines are several times later, and a
+# version that has begun to respond to nothing would be complete by then.
+OVERDUE_FACTOR: Final = 1.5
 # An attempt that ends so close to its deadline has had no response in time.
 DEADLINE_MARGIN_S: Final = 0.02
 
@@ -95,6 +100,11 @@
         and len(state.tried_server_ids) <= 1
     )
     progress.record_send(is_new=is_new, is_first=is_first)
+    progress.begin_attempt(
+        AttemptKey(state.request.request_id, server.report.server_id),
+        CountKey(state.route.name, is_new),
+        board.clock() + OVERDUE_FACTOR * state.route.target_latency_s,
+    )
     if is_new:
         board.metrics.count('rollout.canary_sent')
 
@@ -115,7 +125,12 @@
     :param took_s: seconds since the attempt began.
     """
     progress = _find_progress(board, server)
-    if progress is None or not progress.is_compared:
+    if progress is None:
+        return
+    progress.end_attempt(
+        AttemptKey(state.request.request_id, server.report.server_id)
+    )
+    if not progress.is_compared:
         return
     now = board.clock()
     if result is None:
--- a/tests/rollout_model.py
+++ b/tests/rollout_model.py
@@ -14,6 +14,7 @@
 from copperyard.entry_settings import EntryBounds, RolloutBounds
 from copperyard.metadata_store import OperatorRecord, StoreUnavailable
 from copperyard.rollouts.controller import RolloutController
+from copperyard.rollouts.judgement import CountKey
 from copperyard.rollouts.messages import Stage
 from copperyard.rollouts.orders import (
     RolloutChange,
@@ -21,6 +22,7 @@
     RolloutState,
     StatusListing,
 )
+from copperyard.rollouts.progress import AttemptKey
 from copperyard.rollouts.recording import apply_rollout_change
 from tests.entry_builders import BOUNDS, build_board, build_report
 
@@ -37,6 +39,8 @@
 # Others take a killed or cut entry for down after this time.
 SILENCE_S = 1.2
 SLICE_S = 0.15
+# Target latency of the routes.
+TARGET_S = 0.6
 OLD, NEW = 'v1', 'v2'
 
 
@@ -57,6 +61,7 @@
     :param slowness: factor on the processing time there.
     :param from_s: time since the order from which on it is so.
     :param routes: the affected routes; all if there are none.
+    :param hang_s: time until a failure shows.
     :param load_min: busy slots of a server from which on it is so.
     """
 
@@ -65,6 +70,7 @@
     from_s: float = 0.0
     routes: tuple[str, ...] = ()
     load_min: int = 0
+    hang_s: float = 0.0
 
     def applies(self, route, age_s, busy):
         """Return whether a request meets the fault."""
@@ -416,6 +422,8 @@
         if is_faulty:
             took_s *= behaviour.slowness
             is_failure = self.random.random() < behaviour.failures
+            if is_failure and behaviour.hang_s:
+                took_s = behaviour.hang_s
         is_watched = progress is not None and not progress.is_final
         if self.ordered_at is not None:
             self.requests += 1
@@ -427,6 +435,10 @@
                 self.sends.append(self.now)
         if is_watched:
             progress.record_send(is_new=is_new, is_first=True)
+            attempt = AttemptKey(str(self.requests), report.server_id)
+            overdue_at = self.now + 1.5 * TARGET_S
+            key = CountKey(route, is_new)
+            progress.begin_attempt(attempt, key, overdue_at)
         self.busy[report.server_id] += 1
         is_bad = is_failure or (is_faulty and behaviour.slowness > 1)
 
@@ -434,6 +446,8 @@
             self.busy[report.server_id] -= 1
             if is_new and is_bad:
                 self.bad_at.append(self.now)
+            if is_watched:
+                progress.end_attempt(attempt)
             if is_watched and progress.is_compared:
                 progress.record_result(
                     route,
--- a/tests/test_rollout_hooks.py
+++ b/tests/test_rollout_hooks.py
@@ -220,6 +220,25 @@
     assert count(progress, is_new=False) == (1, 1, 0)
 
 
+def test_attempt_without_a_response_counts_before_its_deadline():
+    """Guards against a version that stops to respond and is complete."""
+    board, progress = build_running()
+    state = build_request_state(board.clock)
+    server = find_server(board, 's2')
+    record_send(board, state, server)
+
+    def list_counts():
+        counts = progress.describe('127.0.0.1', 1, board.clock()).counts
+        return [(one.is_new, one.answers, one.failures) for one in counts]
+
+    assert list_counts() == []
+    board.clock.now += 1.5 * state.route.target_latency_s
+    assert list_counts() == [(True, 1, 1)]
+    answer = Answered(200, (SIGNATURE,), b'', 's2')
+    record_result(board, state, server, answer, 0.5)
+    assert list_counts() == [(True, 1, 0)]
+
+
 def test_each_request_counts_once_towards_the_budget():
     """Guards against a budget that retries and forwarded requests raise."""
     board, progress = build_running()
--- a/tests/test_rollout_model.py
+++ b/tests/test_rollout_model.py
@@ -41,6 +41,7 @@
         {'new': Behaviour(slowness=4.0, routes=('list',)), 'loss': 0.3},
         {'new': Behaviour(failures=0.5), 'old': Behaviour(failures=0.2)},
         {'new': Behaviour(failures=0.3), 'rate': 27.0, 'servers': 5},
+        {'new': Behaviour(failures=0.5, hang_s=4.0, from_s=5.5)},
     ],
     ids=[
         'fails',
@@ -53,6 +54,7 @@
         'slow on a route, messages lost',
         'old one fails too',
         'few requests',
+        'responds to nothing, late',
     ],
 )
 def test_bad_version_is_rolled_back_within_its_exposure(options, seed):
--- a/tests/test_rollout_processes.py
+++ b/tests/test_rollout_processes.py
@@ -4,6 +4,7 @@
 import itertools
 import json
 from contextlib import AsyncExitStack
+from functools import partial
 
 import pytest
 
@@ -22,6 +23,11 @@
 # seven tenths of it.
 DURATION_S = 6
 INTERVAL_S = 0.03
+ORDER = {
+    'service': 'ledger',
+    'target-version': 'v2',
+    'duration-s': DURATION_S,
+}
 
 
 async def start_new_servers(platform, stack, count, failure_interval):
@@ -47,13 +53,26 @@
     return json.loads(value) if value else {}
 
 
+async def is_decided(platform):
+    """Return whether the store has the outcome."""
+    return find_status(platform).get('state') in {'complete', 'rolled_back'}
+
+
+async def send_request(entry, request_id, path):
+    """Send one request; the entry may be killed meanwhile."""
+    try:
+        return await entry.request(request_id, path)
+    except OSError:
+        return b''
+
+
 async def send_requests(entries, answers):
     """Send requests to the entries in turn until cancelled."""
     tasks = set()
     for number in itertools.count():
         entry = entries[number % len(entries)]
         path = '/read/x' if number % 2 else '/write/x'
-        task = asyncio.create_task(entry.request(f'q{number}', path))
+        task = asyncio.create_task(send_request(entry, f'q{number}', path))
         tasks.add(task)
         task.add_done_callback(lambda done: answers.append(done.result()))
         task.add_done_callback(tasks.discard)
@@ -65,6 +84,42 @@
     return sum(len(server.runs) for server in servers)
 
 
+async def test_outcome_survives_the_process_that_coordinates(tmp_path):
+    """Guards against a roll-out that ends with its coordinator."""
+    old = [PlatformServerStandIn(f'o{number}') for number in range(3)]
+    async with AsyncExitStack() as stack:
+        platform = await stack.enter_async_context(run_platform(*old))
+        entries = await stack.enter_async_context(
+            run_entries(
+                tmp_path,
+                platform.store_address,
+                *IPS,
+                bounds=BOUNDS,
+                seed=IPS[0],
+            )
+        )
+        await start_new_servers(platform, stack, 3, 0)
+        remaining = list(entries)
+        sender = asyncio.create_task(send_requests(remaining, []))
+        stack.callback(sender.cancel)
+        platform.store.put('keyed.op', 'rollout/ledger', ORDER)
+
+        async def is_begun():
+            return find_status(platform).get('state') == 'running'
+
+        assert await wait_until(is_begun, 2)
+        await asyncio.sleep(1.0)
+        (coordinator,) = (
+            entry
+            for entry in entries
+            if 'rollout_status_written' in entry.log_path.read_text()
+        )
+        remaining.remove(coordinator)
+        coordinator.process.kill()
+        assert await wait_until(partial(is_decided, platform), DURATION_S)
+        assert find_status(platform)['state'] == 'complete'
+
+
 @pytest.mark.parametrize(
     ('failure_interval', 'state'),
     [(0, 'complete'), (2, 'rolled_back')],
@@ -92,20 +147,8 @@
         # Nothing has ordered the new version.
         assert not count_runs(new)
         runs_before = count_runs(old)
-        order = {
-            'service': 'ledger',
-            'target-version': 'v2',
-            'duration-s': DURATION_S,
-        }
-        platform.store.put('keyed.op', 'rollout/ledger', order)
-
-        async def is_decided():
-            return find_status(platform).get('state') in {
-                'complete',
-                'rolled_back',
-            }
-
-        assert await wait_until(is_decided, DURATION_S)
+        platform.store.put('keyed.op', 'rollout/ledger', ORDER)
+        assert await wait_until(partial(is_decided, platform), DURATION_S)
         canaries = count_runs(new)
         requests = canaries + count_runs(old) - runs_before
         assert find_status(platform)['state'] == state
