--- a/copperyard/send_checks.py
+++ b/copperyard/dispatch_helpers.py
@@ -1,13 +1,20 @@
-"""Checks right before a request is sent."""
+"""Steps of the dispatch of a request that need no dispatcher."""
 
-from collections.abc import Callable
-from contextlib import ExitStack
+from collections.abc import Callable, Iterator
+from contextlib import ExitStack, contextmanager
 
 import anyio
 
+from copperyard.crash_checks import BrokenRequest
+from copperyard.exchanges import ForwardResult, StreamedResponse
 from copperyard.http_codec import encode_request
 from copperyard.request_states import RequestState
 from copperyard.requests import CallerRequest
+from copperyard.server_table import KnownServer
+
+
+def ignore_crash(server: KnownServer, broken: BrokenRequest) -> None:
+    """Check nothing."""
 
 
 def record_forward(state: RequestState, unsent_retry: ExitStack) -> bool:
@@ -49,3 +56,12 @@
         request.method, request.target, request.headers, b''
     )
     return encoded is not None
+
+
+@contextmanager
+def closed_on_error(result: ForwardResult) -> Iterator[None]:
+    with ExitStack() as stack:
+        if isinstance(result, StreamedResponse):
+            stack.enter_context(result)
+        yield
+        stack.pop_all()
--- a/copperyard/dispatching.py
+++ b/copperyard/dispatching.py
@@ -1,8 +1,8 @@
 """Dispatch of requests to backend servers, with retries and hedging."""
 
 from collections import defaultdict
-from collections.abc import Callable, Iterator
-from contextlib import ExitStack, contextmanager
+from collections.abc import Callable
+from contextlib import ExitStack
 from dataclasses import replace
 from functools import partial
 from typing import Final
@@ -21,6 +21,13 @@
 from copperyard.clock import MILLISECONDS_PER_S
 from copperyard.concurrency_estimates import NEARLY_FULL_SHARE
 from copperyard.crash_checks import BrokenRequest
+from copperyard.dispatch_helpers import (
+    check_then_discard,
+    closed_on_error,
+    ignore_crash,
+    is_encodable,
+    record_forward,
+)
 from copperyard.entry_board import EntryBoard
 from copperyard.exchanges import BackendPool, ForwardResult, StreamedResponse
 from copperyard.load_probing import build_server_address
@@ -49,12 +56,8 @@
 from copperyard.platform import PLATFORM_DIALECT
 from copperyard.quarantines import find_quarantine_refusal
 from copperyard.request_states import DispatchOutcome, RequestState
+from copperyard.rollouts.recording import record_result, record_send
 from copperyard.routes import Route
-from copperyard.send_checks import (
-    check_then_discard,
-    is_encodable,
-    record_forward,
-)
 from copperyard.server_table import KnownServer
 
 # Share of the target latency after which a request is hedged; noisy neighbours
@@ -77,10 +80,6 @@
 _SERVER_ERROR: Final = 500
 
 
-def _ignore(server: KnownServer, broken: BrokenRequest) -> None:
-    """Check nothing."""
-
-
 class Dispatcher:
     """Sends requests to backend servers and decides their outcomes.
 
@@ -97,7 +96,9 @@
         board: EntryBoard,
         pool: BackendPool,
         picker: ServerPicker,
-        check_crash: Callable[[KnownServer, BrokenRequest], None] = _ignore,
+        check_crash: Callable[
+            [KnownServer, BrokenRequest], None
+        ] = ignore_crash,
         forwarder: PeerForwarder | None = None,
     ) -> None:
         self._check_crash = check_crash
@@ -381,10 +382,8 @@
             result = await self._forward_attempt(state, server, attempt)
         finally:
             load.record_completion()
-            if result is None:
-                waited_s = board.clock() - sent_at
-                self._record_abandoned(state.route, server, waited_s, slowness)
-        with _closed_on_error(result):
+            self._record_end(state, server, result, sent_at, slowness)
+        with closed_on_error(result):
             self._record_result(server, result, sent_at)
             self._record_survival(state, server, result, sent_at)
             if isinstance(result, Answered) and result.status < _SERVER_ERROR:
@@ -430,6 +429,19 @@
             state.possible_runs -= is_sent
         return result
 
+    def _record_end(
+        self,
+        state: RequestState,
+        server: KnownServer,
+        result: ForwardResult | None,
+        sent_at: float,
+        slowness: float,
+    ) -> None:
+        took_s = self._board.clock() - sent_at
+        record_result(self._board, state, server, result, took_s)
+        if result is None:
+            self._record_abandoned(state.route, server, took_s, slowness)
+
     def _record_abandoned(
         self,
         route: Route,
@@ -478,6 +490,7 @@
             for other in servers
         ):
             return False
+        record_send(self._board, state, server)
         state.possible_runs += 1
         unsent_retry.pop_all()
         return True
@@ -693,12 +706,3 @@
                 )
             case _:
                 return state.failure
-
-
-@contextmanager
-def _closed_on_error(result: ForwardResult) -> Iterator[None]:
-    with ExitStack() as stack:
-        if isinstance(result, StreamedResponse):
-            stack.enter_context(result)
-        yield
-        stack.pop_all()
--- a/copperyard/store_replica.py
+++ b/copperyard/store_replica.py
@@ -26,6 +26,8 @@
 )
 from copperyard.recent_server_reads import RecentServerReads
 from copperyard.record_listings import build_listing
+from copperyard.rollouts.orders import RolloutChange
+from copperyard.rollouts.recording import apply_rollout_change
 from copperyard.routes import RouteTable
 from copperyard.server_table import ServerChange, is_plausible_era
 
@@ -467,6 +469,13 @@
                     self._apply_configuration(record, routes)
                 case DomainChange(failure_domain=domain, is_out=is_out):
                     self._set_domain_out(domain, is_out=is_out)
+                case RolloutChange():
+                    apply_rollout_change(
+                        self._board,
+                        change,
+                        record,
+                        is_initial=self.operator_end == NEVER_READ,
+                    )
                 case UnreadableRecord(name=name):
                     self._board.metrics.count('operator_record.damaged')
                     log_event('operator_record_damaged', name=name)
