--- a/tests/standins/platform.py
+++ b/tests/standins/platform.py
@@ -60,9 +60,14 @@
     :param handler: coroutine function from request to response.
     :param host: address to listen on.
     :param port: TCP port; 0 for a free one.
+    :param idle_s: idle time in seconds after which a connection is closed;
+        ``None`` to keep it open.
+    :ivar accepted: number of connections accepted.
     """
 
-    def __init__(self, handler, host=LOOPBACK, port=0):
+    def __init__(self, handler, host=LOOPBACK, port=0, idle_s=None):
+        self.accepted = 0
+        self._idle_s = idle_s
         self._handler = handler
         self._host = host
         self._port = port
@@ -118,6 +123,7 @@
         raise ConnectionResetError
 
     async def _serve(self, reader, writer):
+        self.accepted += 1
         self._writers.add(writer)
         ip = _find_peer_ip(writer)
 
@@ -130,7 +136,9 @@
         try:
             if ip in self._silence_by_ip:
                 await self._cross_link(ip)
-            while await _handle_next_request(handle, reader, writer):
+            while await _handle_next_request(
+                handle, reader, writer, self._idle_s
+            ):
                 continue
         except (
             OSError,
@@ -165,8 +173,9 @@
     return writer.get_extra_info('peername')[0]
 
 
-async def _handle_next_request(handler, reader, writer):
-    head = (await reader.readuntil(b'\r\n\r\n')).decode('latin-1')
+async def _handle_next_request(handler, reader, writer, idle_s):
+    async with asyncio.timeout(idle_s):
+        head = (await reader.readuntil(b'\r\n\r\n')).decode('latin-1')
     request_line, *lines = head.rstrip('\r\n').split('\r\n')
     method, target, _ = request_line.split(' ')
     fields = (line.split(':', 1) for line in lines)
@@ -430,13 +439,17 @@
         return response
 
     async def _respond(self, request):
-        load = f'{self.in_flight},0,4,{self.slowness}'
         if request.target == '/health':
             self.probes += 1
-            headers = {'X-Instance-Id': self.server_id, 'X-Backend-Load': load}
+            await self.check()
+            headers = {
+                'X-Instance-Id': self.server_id,
+                'X-Backend-Load': self.describe_load(),
+            }
             if self.cold_ms:
                 headers['X-Warmup-Ms'] = str(self.cold_ms)
             return Response(headers=headers)
+        load = self.describe_load()
         self.received.append(request)
         self.arrivals_by_source[request.peer_ip].append(seconds_since_boot())
         target_id = request.headers.get('x-target-instance')
@@ -459,6 +472,17 @@
             self.pauses.append((request.peer_ip, now, until))
         return Response(503, headers)
 
+    def describe_load(self):
+        """Return the load report."""
+        return f'{self.in_flight},0,4,{self.slowness}'
+
+    async def check(self):
+        """Spend the time that a health check takes."""
+
+    async def work(self):
+        """Spend the processing time of a request."""
+        await asyncio.sleep(self.work_s * self.slowness / 100)
+
     async def _execute(self, request, load):
         request_id = request.headers['x-request-id']
         self.in_flight += 1
@@ -473,7 +497,7 @@
         try:
             while self.is_silent:
                 await asyncio.sleep(0.05)
-            await asyncio.sleep(self.work_s * self.slowness / 100)
+            await self.work()
         finally:
             self.in_flight -= 1
             self.runs[run_index]['ended'] = seconds_since_boot()
