--- a/copperyard/entry.py
+++ b/copperyard/entry.py
@@ -160,7 +160,7 @@
         controllers_by_name = {
             'datagrams': self._peers.receive,
             'heartbeats': self._peers.run_heartbeats,
-            'load_updates': self._peers.run_load_updates,
+            'load_updates': self._peers.load_updates.run,
             'entry_news': self._peers.run_news,
             'urgent_heartbeats': self._peers.run_urgent_heartbeats,
             'operator_records': poller.poll_operator_records,
--- a/copperyard/entry_peers.py
+++ b/copperyard/entry_peers.py
@@ -2,7 +2,7 @@
 
 import socket
 from collections import deque
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Iterable
 from contextlib import AsyncExitStack
 from dataclasses import dataclass
 from random import Random
@@ -22,21 +22,18 @@
     HeardReport,
     Heartbeat,
     Inquiry,
-    LoadReport,
     LoadUpdate,
-    OutcomeCounts,
     ServerUpdate,
     UnknownForm,
     decode_datagram,
     encode_message,
     find_unknown_form,
-    is_in_range,
 )
 from copperyard.entry_view import EntryPeer, EntryView
 from copperyard.fault_barriers import FaultBarrier
+from copperyard.load_updates import LoadUpdates, Recipients
 from copperyard.logs import log_event
 from copperyard.message_formats import FORMATS_VERSION, UnknownKinds
-from copperyard.server_loads import LoadSample
 from copperyard.server_update_parts import split_update
 from copperyard.settings import is_ipv4
 from copperyard.shared_facts import SharedFacts
@@ -55,11 +52,6 @@
 HEARTBEATS_PER_FULL_ONE: Final = 4
 # Full heartbeats after urgent news, in case one of them is lost.
 FULL_HEARTBEATS_AFTER_NEWS: Final = 3
-# Load reports are batched for this time before they are sent.
-LOAD_UPDATE_INTERVAL_S: Final = 0.003
-# Entries that get each load update. In larger failure domains they are drawn at
-# random each time, so that the cost per entry does not grow with the domain.
-LOAD_UPDATE_PEERS_MAX: Final = 12
 
 # Comparisons with other entries that are not repeated.
 COMPARISONS_KEPT: Final = 64
@@ -140,6 +132,16 @@
             self.send_message,
             random,
         )
+        self.load_updates = LoadUpdates(
+            board,
+            self.facts,
+            Recipients(
+                self.view.list_alive,
+                lambda now: self._gossip.spread(now)[0],
+                lambda ip, content: self._send(ip, content),
+            ),
+            random,
+        )
         # Handlers of further kinds of datagrams, which other parts register.
         self.handlers_by_type: dict[type, Callable[[Any, float], None]] = {}
         self._board = board
@@ -306,14 +308,6 @@
             for ip in ips:
                 self._send(ip, content)
 
-    async def run_load_updates(self) -> None:
-        """Send batched load updates until cancelled."""
-        while True:
-            await self._board.has_unsent_updates.wait()
-            await anyio.sleep(LOAD_UPDATE_INTERVAL_S)
-            self._board.has_unsent_updates = anyio.Event()
-            self._send_load_update()
-
     async def run_urgent_heartbeats(self) -> None:
         """Send a heartbeat at once when there is urgent news."""
         while True:
@@ -415,63 +409,6 @@
         if self._gossip.has_news:
             self._has_news.set()
 
-    def _send_load_update(self) -> None:
-        now = self._board.clock()
-        cold_ids = frozenset(self._board.unsent_cold_ids)
-        self._board.unsent_cold_ids.clear()
-        update = self._take_load_update(now)
-        content = encode_message(update)
-        own_domain = self._board.settings.failure_domain
-        domain_ips = [
-            peer.heartbeat.ip
-            for peer in self.list_alive(now)
-            if peer.heartbeat.failure_domain == own_domain
-        ]
-        for ip in self._random.sample(
-            domain_ips, min(LOAD_UPDATE_PEERS_MAX, len(domain_ips))
-        ):
-            self._send(ip, content)
-        if cold_ids:
-            self._send_cold(update, cold_ids, domain_ips, now)
-
-    def _send_cold(
-        self,
-        update: LoadUpdate,
-        cold_ids: frozenset[str],
-        domain_ips: list[str],
-        now: float,
-    ) -> None:
-        """Tell other failure domains which servers have turned cold.
-
-        Those that learn it there tell it the others of their domain.
-        """
-        checks = [it for it in update.checks if it.server_id in cold_ids]
-        content = encode_message(LoadUpdate((), checks=tuple(checks)))
-        for ip in self._gossip.spread(now)[0]:
-            if ip not in domain_ips:
-                self._send(ip, content)
-
-    def _take_load_update(self, now: float) -> LoadUpdate:
-        board = self._board
-        reports = (
-            LoadReport(
-                server_id,
-                sample.active_requests,
-                sample.slots,
-                sample.slowness,
-                now - sampled_at,
-            )
-            for server_id, (sample, sampled_at) in board.unsent_samples.items()
-        )
-        valid_reports = tuple(filter(self._check_report, reports))
-        sent_ids = tuple(board.unsent_sends)
-        outcomes = _count_outcomes(board.unsent_outcomes)
-        checks = self.facts.take_checks(now)
-        board.unsent_samples.clear()
-        board.unsent_sends.clear()
-        board.unsent_outcomes.clear()
-        return LoadUpdate(valid_reports, sent_ids, outcomes, checks)
-
     def _handle(self, message: Datagram) -> None:
         now = self._board.clock()
         match message:
@@ -481,7 +418,7 @@
                 self._handle_server_update(message, now)
             case LoadUpdate():
                 self._board.metrics.count('loads.received')
-                self._apply_load_update(message, now)
+                self.load_updates.apply(message, now)
             case _:
                 self._handle_entry_message(message, now)
         self._signal_news()
@@ -562,34 +499,6 @@
         alive = self.list_alive(self._board.clock())
         return len(self.view.list_watchers()) < len(alive)
 
-    def _apply_load_update(self, update: LoadUpdate, now: float) -> None:
-        for report in filter(self._check_report, update.reports):
-            load = self._board.loads_by_id.get(report.server_id)
-            if load is not None:
-                sample = LoadSample(
-                    report.active_requests, report.slots, report.slowness
-                )
-                load.record_sample(sample, now - report.age_s)
-
-        for server_id in update.sent_ids:
-            load = self._board.loads_by_id.get(server_id)
-            if load is not None:
-                load.record_peer_send()
-        for counts in update.outcomes:
-            load = self._board.loads_by_id.get(counts.server_id)
-            if load is not None:
-                load.record_outcomes(counts.successes, counts.failures, now)
-        for check in update.checks:
-            self._board.merge_check(check.server_id, check.cold_left_s, now)
-
-    def _check_report(self, report: LoadReport) -> bool:
-        """Return whether a load report is in range; count it otherwise."""
-        if is_in_range(report):
-            return True
-        self._board.metrics.count('load_report.damaged')
-        log_event('load_report_damaged', server=report.server_id)
-        return False
-
     def _list_unreachable(self) -> tuple[str, ...]:
         services = tuple(self._board.server_links.lost_services)
         count = min(LISTED_SERVICES, len(services))
@@ -615,17 +524,3 @@
             # Datagrams may be lost; a later one carries the same information.
             self._board.metrics.count('datagram.unsent')
             log_event('datagram_unsent', entry=ip, detail=str(error))
-
-
-def _count_outcomes(
-    outcomes: Mapping[tuple[str, bool], int],
-) -> tuple[OutcomeCounts, ...]:
-    server_ids = {server_id for server_id, _ in outcomes}
-    return tuple(
-        OutcomeCounts(
-            server_id,
-            successes=outcomes.get((server_id, True), 0),
-            failures=outcomes.get((server_id, False), 0),
-        )
-        for server_id in server_ids
-    )
--- /dev/null
+++ b/copperyard/load_updates.py
@@ -0,0 +1,177 @@
+"""Load updates: what entries tell each other about the loads of servers."""
+
+from collections.abc import Callable, Iterable, Mapping
+from dataclasses import dataclass
+from random import Random
+from typing import Final
+
+import anyio
+
+from copperyard.entry_board import EntryBoard
+from copperyard.entry_messages import (
+    LoadReport,
+    LoadUpdate,
+    OutcomeCounts,
+    encode_message,
+    is_in_range,
+)
+from copperyard.entry_view import EntryPeer
+from copperyard.logs import log_event
+from copperyard.server_loads import LoadSample
+from copperyard.shared_facts import SharedFacts
+
+# Load reports are batched for this time before they are sent.
+LOAD_UPDATE_INTERVAL_S: Final = 0.003
+# Entries that get each load update. In larger failure domains they are drawn at
+# random each time, so that the cost per entry does not grow with the domain.
+LOAD_UPDATE_PEERS_MAX: Final = 12
+
+
+@dataclass(frozen=True, slots=True)
+class Recipients:
+    """Whom load updates may be sent to, and how.
+
+    :param list_alive: returns the entries that are alive at a given time.
+    :param list_remote: returns the IP addresses of entries that pass news on
+        in all failure domains.
+    :param send: sends an encoded datagram to an IP address.
+    """
+
+    list_alive: Callable[[float], list[EntryPeer]]
+    list_remote: Callable[[float], Iterable[str]]
+    send: Callable[[str, bytes], None]
+
+
+class LoadUpdates:
+    """Sends what has been learned about server loads, and applies it.
+
+    :param board: its server loads are updated.
+    :param facts: health checks that other entries have to know of.
+    :param recipients: the other entries.
+    :param random: draws who gets an update.
+    """
+
+    def __init__(
+        self,
+        board: EntryBoard,
+        facts: SharedFacts,
+        recipients: Recipients,
+        random: Random,
+    ) -> None:
+        self._board = board
+        self._facts = facts
+        self._recipients = recipients
+        self._random = random
+
+    async def run(self) -> None:
+        """Send batched load updates until cancelled."""
+        while True:
+            await self._board.has_unsent_updates.wait()
+            await anyio.sleep(LOAD_UPDATE_INTERVAL_S)
+            self._board.has_unsent_updates = anyio.Event()
+            self.send()
+
+    def send(self) -> None:
+        """Send what has been learned since the last update."""
+        now = self._board.clock()
+        cold_ids = frozenset(self._board.unsent_cold_ids)
+        self._board.unsent_cold_ids.clear()
+        update = self._take(now)
+        own_domain = self._board.settings.failure_domain
+        domain_ips = [
+            peer.heartbeat.ip
+            for peer in self._recipients.list_alive(now)
+            if peer.heartbeat.failure_domain == own_domain
+        ]
+        content = encode_message(update)
+        for ip in self._random.sample(
+            domain_ips, min(LOAD_UPDATE_PEERS_MAX, len(domain_ips))
+        ):
+            self._recipients.send(ip, content)
+        if cold_ids:
+            self._send_cold(update, cold_ids, domain_ips, now)
+
+    def apply(self, update: LoadUpdate, now: float) -> None:
+        """Apply the load update of another entry.
+
+        :param update: the update.
+        :param now: ``CLOCK_BOOTTIME`` in seconds.
+        """
+        for report in filter(self._check_report, update.reports):
+            load = self._board.loads_by_id.get(report.server_id)
+            if load is not None:
+                sample = LoadSample(
+                    report.active_requests, report.slots, report.slowness
+                )
+                load.record_sample(sample, now - report.age_s)
+
+        for server_id in update.sent_ids:
+            load = self._board.loads_by_id.get(server_id)
+            if load is not None:
+                load.record_peer_send()
+        for counts in update.outcomes:
+            load = self._board.loads_by_id.get(counts.server_id)
+            if load is not None:
+                load.record_outcomes(counts.successes, counts.failures, now)
+        for check in update.checks:
+            self._board.merge_check(check.server_id, check.cold_left_s, now)
+
+    def _send_cold(
+        self,
+        update: LoadUpdate,
+        cold_ids: frozenset[str],
+        domain_ips: list[str],
+        now: float,
+    ) -> None:
+        """Tell other failure domains which servers have turned cold.
+
+        Those that learn it there tell it the others of their domain.
+        """
+        checks = [it for it in update.checks if it.server_id in cold_ids]
+        content = encode_message(LoadUpdate((), checks=tuple(checks)))
+        for ip in self._recipients.list_remote(now):
+            if ip not in domain_ips:
+                self._recipients.send(ip, content)
+
+    def _take(self, now: float) -> LoadUpdate:
+        board = self._board
+        reports = (
+            LoadReport(
+                server_id,
+                sample.active_requests,
+                sample.slots,
+                sample.slowness,
+                now - sampled_at,
+            )
+            for server_id, (sample, sampled_at) in board.unsent_samples.items()
+        )
+        valid_reports = tuple(filter(self._check_report, reports))
+        sent_ids = tuple(board.unsent_sends)
+        outcomes = _count_outcomes(board.unsent_outcomes)
+        checks = self._facts.take_checks(now)
+        board.unsent_samples.clear()
+        board.unsent_sends.clear()
+        board.unsent_outcomes.clear()
+        return LoadUpdate(valid_reports, sent_ids, outcomes, checks)
+
+    def _check_report(self, report: LoadReport) -> bool:
+        """Return whether a load report is in range; count it otherwise."""
+        if is_in_range(report):
+            return True
+        self._board.metrics.count('load_report.damaged')
+        log_event('load_report_damaged', server=report.server_id)
+        return False
+
+
+def _count_outcomes(
+    outcomes: Mapping[tuple[str, bool], int],
+) -> tuple[OutcomeCounts, ...]:
+    server_ids = {server_id for server_id, _ in outcomes}
+    return tuple(
+        OutcomeCounts(
+            server_id,
+            successes=outcomes.get((server_id, True), 0),
+            failures=outcomes.get((server_id, False), 0),
+        )
+        for server_id in server_ids
+    )
--- a/tests/test_cold_allowance.py
+++ b/tests/test_cold_allowance.py
@@ -122,7 +122,7 @@
     board, peers, sent = build_peers('10.0.0.1', 'a', *others)
     server = board.server_table.servers_by_id['s1']
     board.record_check(server, 3.0, board.clock())
-    peers._send_load_update()
+    peers.load_updates.send()
     assert {ip for ip, _ in sent} == {'10.0.0.2', '10.0.0.3'}
     content = dict(sent)['10.0.0.3']
     other, other_peers, passed_on = build_peers(
@@ -132,7 +132,7 @@
         other_peers._handle(decode_datagram(content))
         assert other.loads_by_id['s1'].is_cold(other.clock() + 2.9)
         assert not other.loads_by_id['s1'].is_cold(other.clock() + 3.1)
-        other_peers._send_load_update()
+        other_peers.load_updates.send()
     # An earlier health check, whose response arrives later, says warm.
     other.record_check(server, 0.0, other.clock() - 0.01)
     assert other.loads_by_id['s1'].is_cold(other.clock())
--- a/tests/test_entry_messages.py
+++ b/tests/test_entry_messages.py
@@ -96,7 +96,7 @@
     """Check that the state can still be used and passed on."""
     now = board.clock()
     board.record_send('s1', board.loads_by_id['s1'])
-    peers._send_load_update()
+    peers.load_updates.send()
     peers.send_heartbeats()
     peers._run_once(now)
     peers._gossip.flush()
--- a/tests/test_entry_peers.py
+++ b/tests/test_entry_peers.py
@@ -10,16 +10,13 @@
 from copperyard.clock import seconds_since_boot
 from copperyard.crash_suspects import Crash
 from copperyard.entry_messages import Heartbeat, decode_datagram
-from copperyard.entry_peers import (
-    HEARTBEATS_PER_FULL_ONE,
-    LOAD_UPDATE_PEERS_MAX,
-    EntryPeers,
-)
+from copperyard.entry_peers import HEARTBEATS_PER_FULL_ONE, EntryPeers
 from copperyard.entry_view import (
     FORGET_AFTER_S,
     HEARTBEAT_INTERVAL_S,
     EntryPeer,
 )
+from copperyard.load_updates import LOAD_UPDATE_PEERS_MAX
 from copperyard.request_fingerprints import RequestFingerprints
 from copperyard.server_loads import LoadSample
 from copperyard.store_replica import StoreReplica
@@ -50,7 +47,7 @@
         for _, peers in (first, second):
             peers.open(stack)
             group.start_soon(peers.receive)
-            group.start_soon(peers.run_load_updates)
+            group.start_soon(peers.load_updates.run)
             group.start_soon(peers.run_urgent_heartbeats)
             group.start_soon(peers.run_news)
         first[1].contact(('127.0.0.32',))
@@ -188,7 +185,7 @@
         )
     for _ in range(30):
         board.record_send('s1', board.loads_by_id['s1'])
-        peers._send_load_update()
+        peers.load_updates.send()
     assert len(sent) == 30 * told
     assert len(set(sent)) == entries - 1
 
