Let each entry use a part of a service's servers where entries are many

Cause: with many entries and servers a pair is used once in minutes, so that connections expire unused, load reports are old, and load updates go to entries that never need them.

Change: copperyard/subsets/ decides which servers an entry uses: each server ranks the entries of a failure domain, and the first of them use it, for each version on its own. Connections that are idle for longer than 1 s carry requests that must not run twice once the idle limit of the servers is known. The socket for datagrams stays registered with the event loop. Candidates move out of picking.py.

The tests of the touched modules pass.

--- a/copperyard/attempt_types.py
+++ b/copperyard/attempt_types.py
@@ -11,6 +11,12 @@
 from copperyard.outcomes import RetryReason
 from copperyard.requests import CallerRequest
 
+# A server may close an idle connection just as a request is written to it, so
+# non-idempotent requests reuse only connections that were used more recently
+# than this, unless more is known of the server's idle limit. A new connection
+# costs 1 ms, less than a duplicated request.
+FRESH_IDLE_MAX_S: Final = 1.0
+
 
 class FailureKind(StrEnum):
     """How an attempt failed.
@@ -118,11 +124,14 @@
     :param address: ``ip:port``.
     :param connection_limit: declared limit; the pool opens no more
         connections to the server.
+    :param fresh_idle_max_s: longest idle time in seconds after which a
+        connection carries a request that must not run twice.
     """
 
     server_id: str
     address: str
     connection_limit: int
+    fresh_idle_max_s: float = FRESH_IDLE_MAX_S
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/copperyard/cold_allowance.py
+++ b/copperyard/cold_allowance.py
@@ -2,7 +2,10 @@
 
 from typing import Final
 
+from copperyard.entry_board import EntryBoard
 from copperyard.sender_selection import is_chosen_sender
+from copperyard.server_table import KnownServer
+from copperyard.subsets.subset_rules import list_cold_senders
 
 # Shortest interval between two requests of one entry to the same cold server.
 # The allowance is counted per second; an interval above 1 s ensures that no
@@ -31,3 +34,35 @@
     return is_chosen_sender(
         server_id, own_ip, entry_ips, max(1, int(cold_requests_per_s))
     )
+
+
+def may_send_to_cold(
+    board: EntryBoard, server: KnownServer, now: float
+) -> bool:
+    """Return whether this entry may send a request to a cold server.
+
+    Where many entries share the servers, it is one of those that use it.
+
+    :param board: the known entries, and what this one has sent.
+    :param server: the cold server.
+    :param now: ``CLOCK_BOOTTIME`` in seconds.
+    """
+    report = server.report
+    service_config = board.find_service_config(report.service)
+    load = board.find_load(server)
+    if service_config is None or load.count_cold_sends(
+        now - COLD_SEND_INTERVAL_S
+    ):
+        return False
+    cold_per_s = service_config.cold_requests_per_s
+    layout = board.entry_layout
+    if layout.has_many_entries:
+        return layout.own_ip in list_cold_senders(
+            report.server_id,
+            report.failure_domain,
+            layout,
+            max(1, int(cold_per_s)),
+        )
+    return is_cold_sender(
+        report.server_id, board.settings.ip, board.entry_ips, cold_per_s
+    )
--- a/copperyard/connections.py
+++ b/copperyard/connections.py
@@ -20,14 +20,10 @@
 
 import anyio
 
-from copperyard.attempt_types import ServerAddress
+from copperyard.attempt_types import FRESH_IDLE_MAX_S, ServerAddress
 from copperyard.clock import seconds_since_boot
 from copperyard.settings import split_address
 
-# A server may close an idle connection just as a request is written to it, so
-# non-idempotent requests reuse only connections that were used more recently
-# than this. A new connection costs 1 ms, less than a duplicated request.
-FRESH_IDLE_MAX_S: Final = 1.0
 IDLE_MAX_S: Final = 15.0
 # Minimum interval between checks of all idle connections for unread bytes.
 # Until the next check, a server can fill the receive buffer of each of them.
@@ -141,6 +137,8 @@
     ) -> None:
         self.clock = clock
         self.on_reset = on_reset
+        # Called with the idle time of each connection that a server closes.
+        self.on_idle_closed: Callable[[float], None] | None = None
         self._connections_by_server: dict[str, set[Connection]] = {}
         self._idle_by_server: dict[str, list[Connection]] = {}
         self._unread_checked_at = -math.inf
@@ -168,6 +166,18 @@
         """Return whether the pool holds an idle connection to a server."""
         return server_id in self._idle_by_server
 
+    def has_fresh_idle(self, server_id: str, max_idle_s: float) -> bool:
+        """Return whether an idle connection was used recently.
+
+        :param server_id: id of the server.
+        :param max_idle_s: longest acceptable idle time in seconds.
+        """
+        # The list is empty while the only connection is in use.
+        idle = self._idle_by_server.get(server_id, [])
+        return bool(idle) and (
+            self.clock() - idle[-1].last_used_at <= max_idle_s
+        )
+
     def close_expired_idle(self, now: float) -> None:
         """Close connections that exceed their idle limit or hold unread bytes.
 
@@ -290,10 +300,11 @@
         return [idle_by_descriptor[found] for found, _ in poll.poll(0)]
 
     def _close_unread(self, connection: Connection, now: float) -> None:
-        is_reset = (
-            now - connection.last_used_at < FRESH_IDLE_MAX_S
-            and connection.is_closed_by_server()
-        )
+        idle_s = now - connection.last_used_at
+        is_closed = connection.is_closed_by_server()
         self.close(connection)
+        if is_closed and self.on_idle_closed is not None:
+            self.on_idle_closed(idle_s)
+        is_reset = is_closed and idle_s < FRESH_IDLE_MAX_S
         if is_reset and self.on_reset is not None:
             self.on_reset(connection.server_id)
--- a/copperyard/entry.py
+++ b/copperyard/entry.py
@@ -79,6 +79,7 @@
         self.board.entry_ips = frozenset((settings.ip,))
         self._random = Random()
         self._pool = BackendPool(self.board.clock)
+        self._pool.on_idle_closed = self.board.idle_limits.record_closing
         self._store = PlatformStore(
             self._pool, settings.store_address, self.board.metrics
         )
@@ -127,6 +128,7 @@
             prober,
             self._random,
             self._pool.has_idle,
+            self._pool.has_fresh_idle,
         )
         checker = CrashChecker(
             self.board.record_crash, self.board.metrics, group
--- a/copperyard/entry_board.py
+++ b/copperyard/entry_board.py
@@ -8,11 +8,11 @@
 from anyio import Event
 
 from copperyard.clock import MILLISECONDS_PER_S, seconds_since_boot
-from copperyard.cold_allowance import COLD_SEND_INTERVAL_S, is_cold_sender
 from copperyard.concurrency_estimates import ConcurrencyEstimate
 from copperyard.crash_suspects import Crash, CrashSuspects
 from copperyard.drains import Drain
 from copperyard.entry_settings import EntrySettings
+from copperyard.idle_limits import IdleLimits
 from copperyard.leaving_servers import LeavingServers
 from copperyard.logs import log_event
 from copperyard.metrics import Metrics
@@ -25,6 +25,8 @@
 from copperyard.server_pauses import ServerPauses
 from copperyard.server_table import KnownServer, ServerTable
 from copperyard.shared_retry_budget import SharedRetryBudget
+from copperyard.subsets.server_subsets import ServerSubsets
+from copperyard.subsets.subset_rules import EntryLayout
 from copperyard.urgency import PriorityMix
 
 
@@ -45,6 +47,9 @@
         service.
     :param entry_ips: IP addresses of all known entries, including this one
         and those suspected to have stopped.
+    :param entry_layout: the same entries by failure domain.
+    :param idle_limits: after which idle time servers close connections.
+    :param subsets: which servers of each service this entry uses.
     :param has_servers: whether the backend servers have been read at least
         once.
     :param drain: the drain in progress while the process is shutting down.
@@ -80,6 +85,9 @@
     routes: RouteTable | None = None
     domains_out: frozenset[str] = frozenset()
     entry_ips: frozenset[str] = frozenset()
+    entry_layout: EntryLayout = EntryLayout()
+    idle_limits: IdleLimits = field(default_factory=IdleLimits)
+    subsets: ServerSubsets = field(default_factory=ServerSubsets)
     has_servers: bool = False
     drain: Drain | None = None
     server_table: ServerTable = field(default_factory=ServerTable)
@@ -335,25 +343,6 @@
             if server.report.failure_domain not in self.domains_out
         ]
 
-    def may_send_to_cold(self, server: KnownServer, now: float) -> bool:
-        """Return whether this entry may send a request to a cold server.
-
-        :param server: the cold server.
-        :param now: ``CLOCK_BOOTTIME`` in seconds.
-        """
-        service_config = self.find_service_config(server.report.service)
-        load = self.find_load(server)
-        if service_config is None or load.count_cold_sends(
-            now - COLD_SEND_INTERVAL_S
-        ):
-            return False
-        return is_cold_sender(
-            server.report.server_id,
-            self.settings.ip,
-            self.entry_ips,
-            service_config.cold_requests_per_s,
-        )
-
     def may_send_within_limit(self, server: KnownServer, now: float) -> bool:
         """Return whether the limit that a server names permits a request now.
 
--- a/copperyard/entry_peers.py
+++ b/copperyard/entry_peers.py
@@ -1,5 +1,6 @@
 """Datagrams between entries: who is alive, facts, server changes and loads."""
 
+import asyncio
 import socket
 from collections import deque
 from collections.abc import Callable, Iterable
@@ -38,6 +39,7 @@
 from copperyard.settings import is_ipv4
 from copperyard.shared_facts import SharedFacts
 from copperyard.store_replica import StoreReplica
+from copperyard.subsets.subset_rules import build_layout
 
 # Interval between checks for silent entries and due heartbeats.
 TICK_INTERVAL_S: Final = 0.1
@@ -56,6 +58,9 @@
 # Comparisons with other entries that are not repeated.
 COMPARISONS_KEPT: Final = 64
 
+# Datagrams handled before other tasks get their turn.
+DATAGRAMS_PER_TURN: Final = 16
+
 _RECEIVE_BYTES: Final = 64 * 1024
 
 
@@ -287,13 +292,24 @@
         )
 
     async def receive(self) -> None:
-        """Receive and handle datagrams until cancelled."""
-        while True:
-            await anyio.wait_readable(self._socket)
+        """Receive and handle datagrams until cancelled.
+
+        The socket stays registered with the event loop: registering it for
+        each datagram took half of the time that a datagram cost.
+        """
+        loop = asyncio.get_running_loop()
+        loop.add_reader(self._socket, self._receive_waiting)
+        try:
+            await anyio.sleep_forever()
+        finally:
+            loop.remove_reader(self._socket)
+
+    def _receive_waiting(self) -> None:
+        for _ in range(DATAGRAMS_PER_TURN):
             try:
                 content = self._socket.recv(_RECEIVE_BYTES)
             except BlockingIOError:
-                continue
+                return
             self._handle_content(content)
 
     def send_server_update(self, update: ServerUpdate) -> None:
@@ -515,6 +531,16 @@
         ips = frozenset((self._board.settings.ip, *self.peers_by_ip))
         if ips != self._board.entry_ips:
             self._board.entry_ips = ips
+        domains_by_ip = {
+            ip: peer.heartbeat.failure_domain
+            for ip, peer in self.peers_by_ip.items()
+        }
+        settings = self._board.settings
+        layout = build_layout(
+            settings.ip, settings.failure_domain, domains_by_ip
+        )
+        if layout != self._board.entry_layout:
+            self._board.entry_layout = layout
 
     def _send(self, ip: str, content: bytes) -> None:
         self._board.metrics.count('datagram.sent')
--- a/copperyard/exchanges.py
+++ b/copperyard/exchanges.py
@@ -17,7 +17,6 @@
 )
 from copperyard.clock import seconds_since_boot
 from copperyard.connections import (
-    FRESH_IDLE_MAX_S,
     IDLE_MAX_S,
     Connection,
     ConnectionPool,
@@ -152,7 +151,7 @@
         """
         max_idle_s = IDLE_MAX_S
         if not self._attempt.request.is_idempotent:
-            max_idle_s = FRESH_IDLE_MAX_S
+            max_idle_s = self.server.fresh_idle_max_s
         connection = self._pool.take_idle(self.server, max_idle_s)
         if connection is None:
             connection_or_failure = await self._open()
--- a/copperyard/load_probing.py
+++ b/copperyard/load_probing.py
@@ -35,6 +35,11 @@
     read_server_id,
 )
 from copperyard.server_table import KnownServer
+from copperyard.subsets.board_subsets import (
+    ConnectionLimits,
+    find_connection_share,
+    find_fresh_idle_s,
+)
 
 # A health check takes about 6 ms and one round trip between failure domains.
 PROBE_TIMEOUT_S: Final = 0.15
@@ -252,7 +257,7 @@
 ) -> ServerAddress:
     """Return the address of a server and this entry's connection limit.
 
-    The declared connection limit of a server is divided among all entries.
+    The declared connection limit of a server is divided among the entries.
 
     :param board: provides the service configuration and the entries.
     :param server: the server.
@@ -261,9 +266,14 @@
     service_config = board.find_service_config(report.service)
     limit = CONNECTIONS_DEFAULT
     if service_config is not None:
-        limit = service_config.connection_limit // max(1, len(board.entry_ips))
+        limit = find_connection_share(
+            board,
+            server,
+            ConnectionLimits(service_config.connection_limit, CONNECTIONS_MIN),
+        )
     return ServerAddress(
         report.server_id,
         report.address,
-        max(CONNECTIONS_MIN, limit),
+        limit,
+        find_fresh_idle_s(board, report.service),
     )
--- a/copperyard/load_updates.py
+++ b/copperyard/load_updates.py
@@ -1,11 +1,13 @@
 """Load updates: what entries tell each other about the loads of servers."""
 
+from collections import defaultdict
 from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass
 from random import Random
 from typing import Final
 
 import anyio
+from msgspec.structs import replace
 
 from copperyard.entry_board import EntryBoard
 from copperyard.entry_messages import (
@@ -19,7 +21,9 @@
 from copperyard.logs import log_event
 from copperyard.server_loads import LoadSample
 from copperyard.shared_facts import SharedFacts
+from copperyard.subsets.board_subsets import list_users
 
+EMPTY_UPDATE: Final = LoadUpdate(())
 # Load reports are batched for this time before they are sent.
 LOAD_UPDATE_INTERVAL_S: Final = 0.003
 # Entries that get each load update. In larger failure domains they are drawn at
@@ -83,13 +87,60 @@
             for peer in self._recipients.list_alive(now)
             if peer.heartbeat.failure_domain == own_domain
         ]
-        content = encode_message(update)
+        unshared = self._send_to_users(update, frozenset(domain_ips), now)
+        if unshared != EMPTY_UPDATE:
+            self._send_to_any(encode_message(unshared), domain_ips)
+        if cold_ids:
+            self._send_cold(update, cold_ids, domain_ips, now)
+
+    def _send_to_any(self, content: bytes, domain_ips: list[str]) -> None:
         for ip in self._random.sample(
             domain_ips, min(LOAD_UPDATE_PEERS_MAX, len(domain_ips))
         ):
             self._recipients.send(ip, content)
-        if cold_ids:
-            self._send_cold(update, cold_ids, domain_ips, now)
+
+    def _send_to_users(
+        self, update: LoadUpdate, domain_ips: frozenset[str], now: float
+    ) -> LoadUpdate:
+        """Tell the entries that use a server of it.
+
+        :returns: what is not only for the users of some server: loads of
+            servers that all entries use, and servers that are cold, which all
+            entries have to know.
+        """
+        if not self._board.entry_layout.has_many_entries:
+            return update
+        ids_by_ip: dict[str, list[str]] = defaultdict(list)
+        shared_ids = set()
+        for server_id in _list_ids(update):
+            users = list_users(self._board, server_id, now)
+            if users is not None:
+                shared_ids.add(server_id)
+                for ip in self._draw(domain_ips.intersection(users)):
+                    ids_by_ip[ip].append(server_id)
+        self._send_selected(update, ids_by_ip)
+        unshared = _select(update, lambda it: it not in shared_ids)
+        cold = tuple(check for check in update.checks if check.cold_left_s)
+        warm = tuple(it for it in unshared.checks if not it.cold_left_s)
+        return replace(unshared, checks=cold + warm)
+
+    def _send_selected(
+        self, update: LoadUpdate, ids_by_ip: Mapping[str, list[str]]
+    ) -> None:
+        """Send to each entry what concerns the servers that it uses."""
+        contents_by_ids: dict[tuple[str, ...], bytes] = {}
+        for ip, server_ids in ids_by_ip.items():
+            key = tuple(server_ids)
+            if key not in contents_by_ids:
+                contents_by_ids[key] = encode_message(
+                    _select(update, key.__contains__)
+                )
+            self._recipients.send(ip, contents_by_ids[key])
+
+    def _draw(self, ips: frozenset[str]) -> Iterable[str]:
+        if len(ips) <= LOAD_UPDATE_PEERS_MAX:
+            return ips
+        return self._random.sample(sorted(ips), LOAD_UPDATE_PEERS_MAX)
 
     def apply(self, update: LoadUpdate, now: float) -> None:
         """Apply the load update of another entry.
@@ -163,6 +214,26 @@
         return False
 
 
+def _list_ids(update: LoadUpdate) -> set[str]:
+    return {
+        *update.sent_ids,
+        *(report.server_id for report in update.reports),
+        *(counts.server_id for counts in update.outcomes),
+        *(check.server_id for check in update.checks),
+    }
+
+
+def _select(
+    update: LoadUpdate, is_selected: Callable[[str], bool]
+) -> LoadUpdate:
+    return LoadUpdate(
+        tuple(it for it in update.reports if is_selected(it.server_id)),
+        tuple(filter(is_selected, update.sent_ids)),
+        tuple(it for it in update.outcomes if is_selected(it.server_id)),
+        tuple(it for it in update.checks if is_selected(it.server_id)),
+    )
+
+
 def _count_outcomes(
     outcomes: Mapping[tuple[str, bool], int],
 ) -> tuple[OutcomeCounts, ...]:
--- a/copperyard/picking.py
+++ b/copperyard/picking.py
@@ -1,37 +1,37 @@
 """Selection of a backend server for each request."""
 
 from collections.abc import Callable, Collection, Iterator, Sequence
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from random import Random
 from typing import Final
 
 import anyio
 
+from copperyard.candidates import (
+    Candidate,
+    choose_best,
+    find_adjusted_cost,
+    is_saturated,
+)
 from copperyard.clock import MILLISECONDS_PER_S
+from copperyard.cold_allowance import may_send_to_cold
+from copperyard.connections import IDLE_MAX_S
 from copperyard.entry_board import EntryBoard
 from copperyard.load_probing import LoadProber, Probe
 from copperyard.outcomes import NotRun, RefusalReason
 from copperyard.rate_limits import RATE_MIN_PER_S
 from copperyard.server_loads import ServerLoad
 from copperyard.server_table import KnownServer
+from copperyard.subsets.board_subsets import find_subset
 
-# A server with a fresh load report and at most this cost is picked without
-# probing others.
-PREFERRED_COST_MAX: Final = 1.25
 # Probability with which a pick ignores the cost of opening a connection.
 # Otherwise a server that has just joined would get no requests, and nothing
 # would become known about its performance.
 EXPLORATION_PROBABILITY: Final = 0.05
-# Candidates count as equally good if their adjusted costs differ by at most
-# this factor.
-TIE_COST_FACTOR: Final = 1.05
 # Servers probed at the same time, and how often further servers are probed if
 # no preferred one is found.
 PROBES_PER_ROUND: Final = 2
 PROBE_ROUNDS_MAX: Final = 3
-# Above this share of occupied slots, a request starts only one round of
-# probes: each probe occupies a slot for 6 ms.
-SATURATED_SHARE: Final = 0.6
 # A probe takes 6 ms and one round trip; slower ones are not waited for.
 PROBE_WAIT_MAX_S: Final = 0.025
 # ``Retry-After`` if one server refused a request but others have free slots:
@@ -54,34 +54,25 @@
 # A server without an idle connection needs a new one, which occupies one of
 # its slots for about 1 ms.
 CONNECT_COST_FACTOR: Final = 1.1
-
-
-@dataclass(frozen=True, slots=True)
-class Candidate:
-    """A server that is eligible for the request.
-
-    :param server: the server.
-    :param load: its load as seen by this entry.
-    :param cost: expected processing time, relative to the usual one.
-    :param adjusted_cost: cost including the penalties for another failure
-        domain and for a new connection.
-    :param is_fresh: whether the load report is recent enough to rely on.
-    """
-
-    server: KnownServer
-    load: ServerLoad
-    cost: float
-    adjusted_cost: float
-    is_fresh: bool
-
-    @property
-    def is_preferred(self) -> bool:
-        """Return whether it can be picked without probing other servers."""
-        return (
-            self.is_fresh
-            and self.cost <= PREFERRED_COST_MAX
-            and not self.load.is_trial_running
-        )
+# Where an entry uses a subset, few requests reach each server, and a load
+# report is relied on for longer: a health check for each request costs more
+# than the hedges that outdated reports cause.
+SUBSET_AGE_MAX_S: Final = 0.12
+SUBSET_SINGLE_ATTEMPT_AGE_MAX_S: Final = 0.05
+# A new connection costs more than a slightly older report does, up to
+# ``SUBSET_AGE_MAX_S``: requests would else follow the reports of other entries
+# from server to server, and open a connection to each.
+SUBSET_CONNECT_COST_FACTOR: Final = 1.25
+# The same where many entries share the servers: each pick that explores may
+# open a connection that is idle until the server closes it.
+SUBSET_EXPLORATION_PROBABILITY: Final = 0.02
+# Servers of a subset probed at a time, by round: for a request that cannot be
+# retried if the pick was bad, and for one that can be hedged, or is a hedge.
+SUBSET_PROBES_SINGLE_ATTEMPT: Final = (1, 1, 2)
+SUBSET_PROBES: Final = (1,)
+# Without a preferred server, one of the subset is picked up to this cost, a
+# quarter above that of an idle server of unknown speed.
+SUBSET_COST_MAX: Final = 2.5
 
 
 @dataclass(frozen=True, slots=True)
@@ -114,6 +105,8 @@
     :param options: requirements of the request.
     :param is_exploring: whether the cost of a new connection is ignored.
     :param probed_ids: ids of servers that have been probed for the request.
+    :param subset_ids: ids of the servers to pick from; ``None`` for all
+        servers of the service.
     """
 
     service: str
@@ -121,6 +114,7 @@
     options: PickOptions = field(default_factory=PickOptions)
     is_exploring: bool = False
     probed_ids: set[str] = field(default_factory=set)
+    subset_ids: frozenset[str] | None = None
 
 
 class ServerPicker:
@@ -134,6 +128,8 @@
     :param random: source of randomness.
     :param has_connection: returns whether there is an idle connection to the
         server with the given id.
+    :param has_fresh_connection: returns whether one was used within the given
+        number of seconds; ``None`` if that does not matter.
     """
 
     def __init__(
@@ -142,11 +138,13 @@
         prober: LoadProber,
         random: Random,
         has_connection: Callable[[str], bool],
+        has_fresh_connection: Callable[[str, float], bool] | None = None,
     ) -> None:
         self._board = board
         self._prober = prober
         self._random = random
         self._has_connection = has_connection
+        self._has_fresh_connection = has_fresh_connection
 
     async def pick(
         self,
@@ -162,8 +160,14 @@
         :param options: requirements of the request.
         :returns: the server, or the refusal if there is none.
         """
-        is_exploring = self._random.random() < EXPLORATION_PROBABILITY
+        probability = (
+            SUBSET_EXPLORATION_PROBABILITY
+            if self._board.entry_layout.has_many_entries
+            else EXPLORATION_PROBABILITY
+        )
+        is_exploring = self._random.random() < probability
         state = _PickState(service, excluded_ids, options, is_exploring)
+        self._board.subsets.record_request(service, self._board.clock())
         waiting = self._board.waiting_requests_by_service
         waiting[service] += 1
         try:
@@ -175,6 +179,53 @@
         return picked
 
     async def _pick(self, state: _PickState) -> KnownServer | NotRun:
+        now = self._board.clock()
+        subset = find_subset(self._board, state.service, now)
+        if subset is not None:
+            picked = await self._pick_from_subset(
+                replace(state, subset_ids=subset.server_ids)
+            )
+            if picked is not None:
+                return picked
+        return await self._pick_from_all(state)
+
+    async def _pick_from_subset(self, state: _PickState) -> KnownServer | None:
+        """Pick one of the servers that this entry uses.
+
+        :returns: ``None`` if they are all full or slow.
+        """
+        best = await self._probe_subset(state)
+        if best is None or not best.is_preferred:
+            best = self._choose_with_free_slot(
+                state, self._list_candidates(state)
+            )
+        is_found = best is not None and best.cost <= SUBSET_COST_MAX
+        self._board.subsets.record_pick(
+            state.service, self._board.clock(), is_found=is_found
+        )
+        if best is not None and is_found:
+            return best.server
+        self._board.metrics.count('subset.widened')
+        return None
+
+    async def _probe_subset(self, state: _PickState) -> Candidate | None:
+        """Return the best server after as few health checks as possible."""
+        for probe_count in (
+            SUBSET_PROBES_SINGLE_ATTEMPT
+            if state.options.is_single_attempt
+            else SUBSET_PROBES
+        ):
+            candidates = self._list_candidates(state)
+            best = choose_best(candidates, self._random)
+            if best is not None and best.is_preferred:
+                return best
+            if is_saturated(candidates) or not await self._probe_servers(
+                state, probe_count
+            ):
+                return best
+        return choose_best(self._list_candidates(state), self._random)
+
+    async def _pick_from_all(self, state: _PickState) -> KnownServer | NotRun:
         wait_deadline = self._board.clock() + state.options.wait_max_s
         for finished_rounds in range(PROBE_ROUNDS_MAX):
             candidates = self._list_candidates(state)
@@ -347,11 +398,18 @@
             if self._may_send(server, load, now)
         ]
 
+    def _list_servers(self, state: _PickState, now: float) -> list[KnownServer]:
+        servers = self._board.list_servers(state.service, now)
+        subset_ids = state.subset_ids
+        if subset_ids is None:
+            return servers
+        return [it for it in servers if it.report.server_id in subset_ids]
+
     def _list_available(
         self, state: _PickState, now: float
     ) -> Iterator[tuple[KnownServer, ServerLoad]]:
         board = self._board
-        for server in board.list_servers(state.service, now):
+        for server in self._list_servers(state, now):
             load = board.find_load(server)
             is_excluded = server.report.server_id in state.excluded_ids
             if (
@@ -365,7 +423,7 @@
         self, server: KnownServer, load: ServerLoad, now: float
     ) -> bool:
         board = self._board
-        if load.is_cold(now) and not board.may_send_to_cold(server, now):
+        if load.is_cold(now) and not may_send_to_cold(board, server, now):
             return False
         return board.may_send_within_limit(server, now)
 
@@ -379,16 +437,39 @@
         cost = adjusted_cost = load.estimate_cost(now)
         if server.report.failure_domain != self._board.settings.failure_domain:
             adjusted_cost *= REMOTE_DOMAIN_COST_FACTOR
-        is_connected = self._has_connection(server.report.server_id)
-        if not (is_connected or state.is_exploring):
-            adjusted_cost *= CONNECT_COST_FACTOR
-        is_fresh = load.is_fresh(
-            now, is_single_attempt=state.options.is_single_attempt
-        )
+        if not (state.is_exploring or self._is_connected(server, state)):
+            adjusted_cost *= (
+                CONNECT_COST_FACTOR
+                if state.subset_ids is None
+                else SUBSET_CONNECT_COST_FACTOR
+            )
+        is_fresh = self._is_fresh(load, state, now)
         if self._may_confirm_limit(server, state, now):
             return Candidate(server, load, 0.0, 0.0, is_fresh=True)
         return Candidate(server, load, cost, adjusted_cost, is_fresh)
 
+    def _is_connected(self, server: KnownServer, state: _PickState) -> bool:
+        server_id = server.report.server_id
+        if self._has_fresh_connection is None or state.subset_ids is None:
+            return self._has_connection(server_id)
+        max_idle_s = IDLE_MAX_S
+        if state.options.is_single_attempt:
+            max_idle_s = self._board.idle_limits.find_safe_idle_s()
+        return self._has_fresh_connection(server_id, max_idle_s)
+
+    def _is_fresh(
+        self, load: ServerLoad, state: _PickState, now: float
+    ) -> bool:
+        is_single_attempt = state.options.is_single_attempt
+        if state.subset_ids is None:
+            return load.is_fresh(now, is_single_attempt=is_single_attempt)
+        age_max_s = (
+            SUBSET_SINGLE_ATTEMPT_AGE_MAX_S
+            if is_single_attempt
+            else SUBSET_AGE_MAX_S
+        )
+        return now - load.sampled_at < age_max_s
+
     def _may_confirm_limit(
         self, server: KnownServer, state: _PickState, now: float
     ) -> bool:
@@ -404,8 +485,10 @@
             return False
         return limits.needs_confirmation(server.report, now)
 
-    async def _probe_servers(self, state: _PickState) -> bool:
-        chosen = self._choose_servers_to_probe(state)
+    async def _probe_servers(
+        self, state: _PickState, count: int = PROBES_PER_ROUND
+    ) -> bool:
+        chosen = self._choose_servers_to_probe(state, count)
         if not chosen:
             return False
         state.probed_ids.update(server.report.server_id for server in chosen)
@@ -414,11 +497,13 @@
             await _wait_for_probes(probes)
         return True
 
-    def _choose_servers_to_probe(self, state: _PickState) -> list[KnownServer]:
+    def _choose_servers_to_probe(
+        self, state: _PickState, count: int
+    ) -> list[KnownServer]:
         now = self._board.clock()
         candidates = [
             self._build_candidate(server, state, now)
-            for server in self._board.list_servers(state.service, now)
+            for server in self._list_servers(state, now)
             if server.report.server_id not in state.probed_ids
             and server.report.server_id not in state.excluded_ids
         ]
@@ -428,8 +513,8 @@
             if self._may_probe(candidate, now)
         ]
         self._random.shuffle(eligible)
-        eligible.sort(key=_adjusted_cost)
-        return [candidate.server for candidate in eligible[:PROBES_PER_ROUND]]
+        eligible.sort(key=find_adjusted_cost)
+        return [candidate.server for candidate in eligible[:count]]
 
     def _may_probe(self, candidate: Candidate, now: float) -> bool:
         load = candidate.load
@@ -446,49 +531,6 @@
         return load.needs_health_check or not load.is_cold(now)
 
 
-def choose_best(
-    candidates: Sequence[Candidate],
-    random: Random,
-) -> Candidate | None:
-    """Choose at random among the candidates with nearly the lowest cost.
-
-    If all entries took the first of several equal servers, that server would
-    be overloaded.
-
-    :param candidates: servers that are eligible for the request.
-    :param random: source of randomness.
-    :returns: the choice, or ``None`` without candidates.
-    """
-    if not candidates:
-        return None
-    cost_bound = TIE_COST_FACTOR * min(map(_adjusted_cost, candidates))
-    return random.choice(
-        [
-            candidate
-            for candidate in candidates
-            if candidate.adjusted_cost <= cost_bound
-        ],
-    )
-
-
-def is_saturated(candidates: Sequence[Candidate]) -> bool:
-    """Return whether most slots of the servers are occupied.
-
-    Probes would then occupy slots that requests need.
-
-    :param candidates: servers that are eligible for the request.
-    """
-    active_requests = sum(
-        candidate.load.count_active_requests() for candidate in candidates
-    )
-    slots = sum(candidate.load.sample.slots for candidate in candidates)
-    return active_requests > SATURATED_SHARE * slots
-
-
-def _adjusted_cost(candidate: Candidate) -> float:
-    return candidate.adjusted_cost
-
-
 async def _wait_for_probes(probes: Sequence[Probe]) -> None:
     for probe in probes:
         await probe.completed.wait()
--- a/scripts/measure_subsets.py
+++ b/scripts/measure_subsets.py
@@ -2,8 +2,9 @@
 
 Run ``PYTHONPATH=. python scripts/measure_subsets.py``.
 The store, the servers and the entries are processes on loopback addresses. The
-servers close idle connections after 10 s, never answer what they cannot queue,
-and a quarter of their 150 ms time slices are five times slower.
+servers close idle connections after 10 s and never answer what they cannot
+queue; with ``--noisy``, a quarter of their 150 ms time slices are five times
+slower.
 ``--profile FILE`` runs one entry under cProfile and prints the processor time
 by cause.
 """
@@ -88,7 +89,9 @@
     async with AsyncExitStack() as stack:
         address = await stack.enter_async_context(serve_http(store.handle))
         for number in range(options.servers):
-            server = QueueingServerStandIn(f's{number}', WORK_S, SLOTS, QUEUE)
+            server = QueueingServerStandIn(
+                f's{number}', WORK_S, SLOTS, QUEUE, is_noisy=options.noisy
+            )
             server.listener = HttpListener(server.handle, idle_s=IDLE_S)
             server.address = await server.listener.open()
             stack.callback(server.listener.close)
@@ -121,6 +124,8 @@
             spec.update({'timeout-s': DEADLINE_S, 'target-latency-s': TARGET_S})
         elif resource['resource-kind'] == 'services':
             spec.update({'max-connections': 1000, 'warmup-per-s': 6.0})
+        elif resource['resource-kind'] == 'limits':
+            spec['idle-timeout-s'] = 2 * IDLE_S
     return configuration
 
 
@@ -301,8 +306,7 @@
                 sys.executable,
                 __file__,
                 '--serve',
-                '--servers',
-                str(options.servers),
+                *sys.argv[1:],
             ],
             stdin=subprocess.PIPE,
             stdout=subprocess.PIPE,
@@ -387,6 +391,7 @@
     parser.add_argument('--profile', default='')
     parser.add_argument('--logs', default='')
     parser.add_argument('--metrics', action='store_true')
+    parser.add_argument('--noisy', action='store_true')
     parser.add_argument('--serve', action='store_true')
     options = parser.parse_args()
     asyncio.run((serve_servers if options.serve else measure)(options))
--- a/tests/test_cold_allowance.py
+++ b/tests/test_cold_allowance.py
@@ -6,7 +6,11 @@
 import anyio
 import pytest
 
-from copperyard.cold_allowance import COLD_SEND_INTERVAL_S, is_cold_sender
+from copperyard.cold_allowance import (
+    COLD_SEND_INTERVAL_S,
+    is_cold_sender,
+    may_send_to_cold,
+)
 from copperyard.entry_messages import decode_datagram
 from copperyard.entry_peers import EntryPeers
 from copperyard.load_probing import LoadProber
@@ -54,7 +58,7 @@
     for _ in range(500):
         clock.now += 0.05
         server = board.server_table.servers_by_id['s']
-        if board.may_send_to_cold(server, clock()):
+        if may_send_to_cold(board, server, clock()):
             board.find_load(server).record_send(clock())
             send_times.append(clock())
     gaps = [later - earlier for earlier, later in pairwise(send_times)]
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -11,13 +11,14 @@
 import pytest
 
 from copperyard.attempt_types import (
+    FRESH_IDLE_MAX_S,
     Attempt,
     AttemptFailure,
     FailureKind,
     ServerAddress,
 )
 from copperyard.clock import seconds_since_boot
-from copperyard.connections import FRESH_IDLE_MAX_S, IDLE_MAX_S
+from copperyard.connections import IDLE_MAX_S
 from copperyard.exchanges import (
     BUFFER_LIMIT_BYTES,
     BackendPool,
--- a/tests/test_failure_rates.py
+++ b/tests/test_failure_rates.py
@@ -1,7 +1,7 @@
 """Failure rates and their effect on the cost of a server."""
 
+from copperyard.candidates import PREFERRED_COST_MAX
 from copperyard.failure_rates import DECAY_TIME_S, FailureRate
-from copperyard.picking import PREFERRED_COST_MAX
 from copperyard.server_loads import LoadSample, ServerLoad
 
 
