--- a/copperyard/candidates.py
+++ b/copperyard/candidates.py
@@ -29,6 +29,8 @@
     :param adjusted_cost: cost including the penalties for another failure
         domain and for a new connection.
     :param is_fresh: whether the load report is recent enough to rely on.
+    :param preferred_cost_max: highest cost at which it is picked without
+        probing others.
     """
 
     server: KnownServer
@@ -36,13 +38,14 @@
     cost: float
     adjusted_cost: float
     is_fresh: bool
+    preferred_cost_max: float = PREFERRED_COST_MAX
 
     @property
     def is_preferred(self) -> bool:
         """Return whether it can be picked without probing other servers."""
         return (
             self.is_fresh
-            and self.cost <= PREFERRED_COST_MAX
+            and self.cost <= self.preferred_cost_max
             and not self.load.is_trial_running
         )
 
--- a/copperyard/idle_limits.py
+++ b/copperyard/idle_limits.py
@@ -8,7 +8,7 @@
 IDLE_LIMIT_MIN_S: Final = 1.0
 # Closings that are remembered, and how many must be known.
 CLOSINGS_KEPT: Final = 32
-CLOSINGS_MIN: Final = 4
+CLOSINGS_MIN: Final = 2
 # Share of the shortest known limit up to which a request that must not run
 # twice reuses a connection. A closing is noticed up to 1 s late.
 SAFE_SHARE: Final = 0.5
--- a/copperyard/picking.py
+++ b/copperyard/picking.py
@@ -8,6 +8,7 @@
 import anyio
 
 from copperyard.candidates import (
+    PREFERRED_COST_MAX,
     Candidate,
     choose_best,
     find_adjusted_cost,
@@ -23,11 +24,20 @@
 from copperyard.server_loads import ServerLoad
 from copperyard.server_table import KnownServer
 from copperyard.subsets.board_subsets import find_subset
+from copperyard.subsets.due_checks import find_due_server
+from copperyard.subsets.pick_rules import (
+    SUBSET_AGE_MAX_S,
+    SUBSET_CONNECT_COST_FACTOR,
+    SUBSET_COST_MAX,
+    SUBSET_PREFERRED_COST_MAX,
+    SUBSET_PROBES,
+    SUBSET_PROBES_SINGLE_ATTEMPT,
+    SUBSET_SINGLE_ATTEMPT_AGE_MAX_S,
+    choose_spread,
+    find_exploration_probability,
+    find_turn,
+)
 
-# Probability with which a pick ignores the cost of opening a connection.
-# Otherwise a server that has just joined would get no requests, and nothing
-# would become known about its performance.
-EXPLORATION_PROBABILITY: Final = 0.05
 # Servers probed at the same time, and how often further servers are probed if
 # no preferred one is found.
 PROBES_PER_ROUND: Final = 2
@@ -54,25 +64,6 @@
 # A server without an idle connection needs a new one, which occupies one of
 # its slots for about 1 ms.
 CONNECT_COST_FACTOR: Final = 1.1
-# Where an entry uses a subset, few requests reach each server, and a load
-# report is relied on for longer: a health check for each request costs more
-# than the hedges that outdated reports cause.
-SUBSET_AGE_MAX_S: Final = 0.12
-SUBSET_SINGLE_ATTEMPT_AGE_MAX_S: Final = 0.05
-# A new connection costs more than a slightly older report does, up to
-# ``SUBSET_AGE_MAX_S``: requests would else follow the reports of other entries
-# from server to server, and open a connection to each.
-SUBSET_CONNECT_COST_FACTOR: Final = 1.25
-# The same where many entries share the servers: each pick that explores may
-# open a connection that is idle until the server closes it.
-SUBSET_EXPLORATION_PROBABILITY: Final = 0.02
-# Servers of a subset probed at a time, by round: for a request that cannot be
-# retried if the pick was bad, and for one that can be hedged, or is a hedge.
-SUBSET_PROBES_SINGLE_ATTEMPT: Final = (1, 1, 2)
-SUBSET_PROBES: Final = (1,)
-# Without a preferred server, one of the subset is picked up to this cost, a
-# quarter above that of an idle server of unknown speed.
-SUBSET_COST_MAX: Final = 2.5
 
 
 @dataclass(frozen=True, slots=True)
@@ -107,6 +98,8 @@
     :param probed_ids: ids of servers that have been probed for the request.
     :param subset_ids: ids of the servers to pick from; ``None`` for all
         servers of the service.
+    :param is_probe: whether a server to probe is chosen, not one to send the
+        request to.
     """
 
     service: str
@@ -115,6 +108,7 @@
     is_exploring: bool = False
     probed_ids: set[str] = field(default_factory=set)
     subset_ids: frozenset[str] | None = None
+    is_probe: bool = False
 
 
 class ServerPicker:
@@ -160,12 +154,9 @@
         :param options: requirements of the request.
         :returns: the server, or the refusal if there is none.
         """
-        probability = (
-            SUBSET_EXPLORATION_PROBABILITY
-            if self._board.entry_layout.has_many_entries
-            else EXPLORATION_PROBABILITY
+        is_exploring = self._random.random() < find_exploration_probability(
+            self._board.entry_layout
         )
-        is_exploring = self._random.random() < probability
         state = _PickState(service, excluded_ids, options, is_exploring)
         self._board.subsets.record_request(service, self._board.clock())
         waiting = self._board.waiting_requests_by_service
@@ -216,14 +207,14 @@
             else SUBSET_PROBES
         ):
             candidates = self._list_candidates(state)
-            best = choose_best(candidates, self._random)
+            best = choose_spread(candidates, self._random)
             if best is not None and best.is_preferred:
                 return best
             if is_saturated(candidates) or not await self._probe_servers(
                 state, probe_count
             ):
                 return best
-        return choose_best(self._list_candidates(state), self._random)
+        return choose_spread(self._list_candidates(state), self._random)
 
     async def _pick_from_all(self, state: _PickState) -> KnownServer | NotRun:
         wait_deadline = self._board.clock() + state.options.wait_max_s
@@ -244,12 +235,14 @@
 
         Its responses to them do not say so. The request does not wait.
         """
-        board = self._board
-        is_limited = board.rate_limits.find(server.report) is not None
-        if not is_limited and board.find_load(server).is_check_due(
-            board.clock()
-        ):
-            self._prober.start_optional(server)
+        due = find_due_server(self._board, server, self._has_idle)
+        if due is not None:
+            self._prober.start_optional(due)
+
+    def _has_idle(self, server_id: str) -> bool:
+        if self._has_fresh_connection is None:
+            return self._has_connection(server_id)
+        return self._has_fresh_connection(server_id, IDLE_MAX_S)
 
     def find_retry_after_s(self, service: str) -> float:
         """Return the ``Retry-After`` for a request that a server refused.
@@ -446,14 +439,21 @@
         is_fresh = self._is_fresh(load, state, now)
         if self._may_confirm_limit(server, state, now):
             return Candidate(server, load, 0.0, 0.0, is_fresh=True)
-        return Candidate(server, load, cost, adjusted_cost, is_fresh)
+        preferred_cost_max = (
+            PREFERRED_COST_MAX
+            if state.subset_ids is None
+            else SUBSET_PREFERRED_COST_MAX
+        )
+        return Candidate(
+            server, load, cost, adjusted_cost, is_fresh, preferred_cost_max
+        )
 
     def _is_connected(self, server: KnownServer, state: _PickState) -> bool:
         server_id = server.report.server_id
         if self._has_fresh_connection is None or state.subset_ids is None:
             return self._has_connection(server_id)
         max_idle_s = IDLE_MAX_S
-        if state.options.is_single_attempt:
+        if state.options.is_single_attempt and not state.is_probe:
             max_idle_s = self._board.idle_limits.find_safe_idle_s()
         return self._has_fresh_connection(server_id, max_idle_s)
 
@@ -492,6 +492,9 @@
         if not chosen:
             return False
         state.probed_ids.update(server.report.server_id for server in chosen)
+        now = self._board.clock()
+        for chosen_server in chosen:
+            self._board.find_load(chosen_server).used_at = now
         probes = [self._prober.start(server) for server in chosen]
         with anyio.move_on_after(PROBE_WAIT_MAX_S):
             await _wait_for_probes(probes)
@@ -501,8 +504,9 @@
         self, state: _PickState, count: int
     ) -> list[KnownServer]:
         now = self._board.clock()
+        probe_state = replace(state, is_probe=True)
         candidates = [
-            self._build_candidate(server, state, now)
+            self._build_candidate(server, probe_state, now)
             for server in self._list_servers(state, now)
             if server.report.server_id not in state.probed_ids
             and server.report.server_id not in state.excluded_ids
@@ -514,6 +518,8 @@
         ]
         self._random.shuffle(eligible)
         eligible.sort(key=find_adjusted_cost)
+        if state.subset_ids is not None:
+            eligible.sort(key=find_turn)
         return [candidate.server for candidate in eligible[:count]]
 
     def _may_probe(self, candidate: Candidate, now: float) -> bool:
--- a/copperyard/server_loads.py
+++ b/copperyard/server_loads.py
@@ -29,6 +29,8 @@
 # Only health checks say that a server has turned cold. After so many requests
 # without one, by this entry and those that tell it what they send, one is due.
 SENDS_PER_CHECK: Final = 6
+# The same where a check waits until its connection is idle.
+SENDS_PER_LATE_CHECK: Final = 8
 # Health checks cost money; bounds those of a server that gets many requests.
 CHECK_INTERVAL_MIN_S: Final = 0.025
 
@@ -59,6 +61,8 @@
         self.sample = LoadSample(0, slots, DEFAULT_SLOWNESS)
         self.sampled_at = 0.0
         self.in_flight = 0
+        # When this entry last sent a request or health check.
+        self.used_at = 0.0
         self.backoff_until = 0.0
         self.cold_until = 0.0
         # Whether the server must answer a health check before it gets further
@@ -102,6 +106,14 @@
             and self.count_active_requests() < self.sample.slots
         )
 
+    def is_check_overdue(self, now: float) -> bool:
+        """Return whether a health check has been due for several requests.
+
+        :param now: ``CLOCK_BOOTTIME`` in seconds.
+        """
+        is_late = self._sent_since_check >= SENDS_PER_LATE_CHECK
+        return is_late and self.is_check_due(now)
+
     def is_cold(self, now: float) -> bool:
         """Return whether the server is limited to its cold allowance."""
         return now < self.cold_until
@@ -215,6 +227,7 @@
 
     def record_send(self, now: float) -> None:
         """Count a request that this entry sends to the server."""
+        self.used_at = now
         self.in_flight += 1
         self._sent_since_report += 1
         self._sent_since_check += 1
--- a/copperyard/subsets/server_subsets.py
+++ b/copperyard/subsets/server_subsets.py
@@ -19,7 +19,7 @@
 RATE_TIME_S: Final = 10.0
 # An entry that sends each server of a service so many requests per second keeps
 # its connections and load reports in use, and needs no subset.
-PAIR_RATE_PER_S: Final = 0.2
+PAIR_RATE_PER_S: Final = 0.3
 # The width changes only once the rate differs by this factor, so that a rate
 # near a bound does not move servers in and out.
 RATE_HYSTERESIS: Final = 1.5
