Send to a server that has just registered with another version

Cause: the connection share was looked up by the version of the picked report, which the subset no longer has once the server registers with another version; the request ended with an internal error.

Change: such a server has no users until it is picked again.

Measured: the test fails with KeyError before and passes now.

--- a/copperyard/subsets/board_subsets.py
+++ b/copperyard/subsets/board_subsets.py
@@ -79,7 +79,8 @@
     subset = find_subset(board, report.service, board.clock())
     if subset is None or report.server_id not in subset.server_ids:
         return share
-    users = subset.calm_users_by_version[report.version]
+    # A server that has just registered with another version has none.
+    users = subset.calm_users_by_version.get(report.version, 0)
     ranked = rank_entries(report.server_id, layout.domain_ips)
     if layout.own_ip not in ranked[:users]:
         return share
--- a/tests/test_subset_picks.py
+++ b/tests/test_subset_picks.py
@@ -5,6 +5,7 @@
 from random import Random
 
 import pytest
+from msgspec import structs
 
 from copperyard.entry_messages import decode_datagram
 from copperyard.entry_peers import EntryPeers
@@ -207,3 +208,21 @@
             opened[address.server_id] += address.connection_limit
     # Each entry may open three in any case, for health checks and hedges.
     assert max(opened.values()) <= max(limit, CONNECTIONS_MIN * 72)
+
+
+async def test_server_that_changes_its_version_meanwhile_is_still_sent_to():
+    """Guards against a fault in requests to a server that is replaced.
+
+    The request was picked before the server registered with a new version.
+    """
+    board = build_many()
+    now = board.clock()
+    server_id = min(find_subset(board, 'ledger', now).server_ids)
+    before = board.server_table.servers_by_id[server_id]
+    for server in tuple(board.server_table.servers_by_id.values()):
+        replaced = structs.replace(
+            server.report, version='v2', sequence=2, offset=1000
+        )
+        board.server_table.apply(replaced, now)
+    address = build_server_address(board, before)
+    assert address.connection_limit >= CONNECTIONS_MIN
