Take the allowance of each request of a limited tenant

Cause: nothing limited the requests of tenants. The home of a tenant decides, but its requests arrive at all entries.

Change: datagrams to ask, answer, refer and give back, and the part that asks the home twice and then its deputy, takes another allowance when a grant has expired before the request was sent, and gives back that of a request that did not run. Homes are entries of message formats 3 or later. It does nothing without quota bounds, a tenant or a rate. The operations page is checked against the packages, too, not only against the modules at the top. Requests have no tenant until they are authenticated, so a test with entry processes is left to that change.

Measured: the 54 tests of decisions and requests pass, among them three real entries on loopback that share a limit, and the dispatcher, which sends nothing on an expired grant. A question has 36 bytes, a verdict 10 to 12, without headers.

--- a/copperyard/allowances/limits.py
+++ b/copperyard/allowances/limits.py
@@ -26,6 +26,9 @@
 OVERLAP_SHARE: Final = 0.25
 # A grant expires after this time at the latest.
 LIFETIME_MAX_S: Final = 1.0
+# The same for the shortest time, where little or no excess is tolerated:
+# requests wait this long for a server.
+LIFETIME_MIN_S: Final = 0.1
 # Longest time by which a new home may start before the old one has noticed
 # that it is cut off from the others: silences of entries are noticed 0.7 to
 # 1.4 s after their last heartbeat.
@@ -77,7 +80,10 @@
         capacity=max(1.0, tenant.burst + CAPACITY_SHARE * excess),
         start_tokens=START_SHARE * excess,
         deputy_grants=DEPUTY_SHARE * excess,
-        lifetime_s=min(LIFETIME_MAX_S, LATE_SHARE * excess / rate_per_s),
+        lifetime_s=min(
+            LIFETIME_MAX_S,
+            max(LIFETIME_MIN_S, LATE_SHARE * excess / rate_per_s),
+        ),
         handover_s=max(
             0.0, OVERLAP_MAX_S - OVERLAP_SHARE * excess / rate_per_s
         ),
--- a/copperyard/caller_responses.py
+++ b/copperyard/caller_responses.py
@@ -20,6 +20,7 @@
     RefusalReason.BODY_TOO_LARGE: 413,
     RefusalReason.HEAD_TOO_LARGE: 431,
     RefusalReason.TOO_SLOW: 408,
+    RefusalReason.OVER_ALLOWANCE: 429,
 }
 _UNKNOWN_STATUS: Final = 502
 _DEADLINE_EXPIRED_STATUS: Final = 504
@@ -29,6 +30,7 @@
     404: b'Not Found',
     408: b'Request Timeout',
     413: b'Content Too Large',
+    429: b'Too Many Requests',
     431: b'Request Header Fields Too Large',
     502: b'Bad Gateway',
     503: b'Service Unavailable',
--- a/copperyard/entry.py
+++ b/copperyard/entry.py
@@ -15,6 +15,7 @@
 from anyio.abc import AsyncResource, SocketStream, TaskGroup
 from returns.result import Failure
 
+from copperyard.allowances.requests import AllowanceTaker
 from copperyard.bounded_logs import BoundedLogHandler
 from copperyard.caller_connections import (
     CallerConnection,
@@ -90,6 +91,7 @@
             self._replica,
             self._random,
         )
+        self._allowances = AllowanceTaker(self.board, self._peers, self._random)
         self._connections: set[CallerConnection] = set()
         self._listeners: list[AsyncResource] = []
         self._stop_requested = anyio.Event()
@@ -110,7 +112,13 @@
             dispatcher = self._build_dispatcher(group)
             await self._listen(
                 group,
-                EntryApi(self.board, dispatcher, self._peers, self._replica),
+                EntryApi(
+                    self.board,
+                    dispatcher,
+                    self._peers,
+                    self._replica,
+                    self._allowances,
+                ),
             )
             poller = self._start_controllers(group)
             log_build()
@@ -166,6 +174,7 @@
             'operator_records': poller.poll_operator_records,
             'servers': poller.poll_servers,
             'registration': poller.register,
+            'allowances': self._allowances.run,
             'close_expired': self._close_expired,
             'settings': self._settings_reloader.run,
         }
--- a/copperyard/entry_api.py
+++ b/copperyard/entry_api.py
@@ -4,6 +4,7 @@
 from dataclasses import replace
 from typing import Final
 
+from copperyard.allowances.requests import AllowanceTaker
 from copperyard.caller_connections import ReceivedRequest
 from copperyard.caller_responses import CallerResponse, build_response
 from copperyard.clock import MILLISECONDS_PER_S
@@ -78,6 +79,7 @@
     :param dispatcher: sends requests to backend servers.
     :param peers: the other entries, for lookups.
     :param replica: state read from the store, for snapshots.
+    :param allowances: takes the allowances of tenants; ``None`` to limit none.
     """
 
     def __init__(
@@ -86,11 +88,13 @@
         dispatcher: Dispatcher,
         peers: EntryPeers,
         replica: StoreReplica,
+        allowances: AllowanceTaker | None = None,
     ) -> None:
         self._board = board
         self._dispatcher = dispatcher
         self._peers = peers
         self._replica = replica
+        self._allowances = allowances
         self._forwarded_server = ForwardedRequestServer(board, dispatcher)
 
     def find_entry_limits(self) -> RequestLimits:
@@ -260,7 +264,11 @@
             request=state.request.request_id,
             service=state.request.service,
         ):
-            return await self._dispatcher.run(state)
+            if self._allowances is None:
+                return await self._dispatcher.run(state)
+            return await self._allowances.run_request(
+                state, self._dispatcher.run
+            )
         return state.build_fault_outcome()
 
     def _record_outcome(
--- a/copperyard/entry_messages.py
+++ b/copperyard/entry_messages.py
@@ -8,6 +8,12 @@
 
 import msgspec
 
+from copperyard.allowances.messages import (
+    AllowanceAsk,
+    AllowanceReferral,
+    AllowanceReturn,
+    AllowanceVerdict,
+)
 from copperyard.crash_suspects import CRASHES_KEPT, SERVER_KEY_BYTES
 from copperyard.known_eras import KnownEra
 from copperyard.message_formats import FORMATS_VERSION_MAX
@@ -346,6 +352,10 @@
     | ServerUpdate
     | LoadUpdate
     | Goodbye
+    | AllowanceAsk
+    | AllowanceVerdict
+    | AllowanceReferral
+    | AllowanceReturn
 )
 
 
@@ -565,7 +575,7 @@
             return is_ipv4(ip)
         case ServerUpdate(changes=changes, end=end):
             return all(_is_usable(change, end) for change in changes)
-        case LoadUpdate():
+        case _:
             return True
 
 
--- a/copperyard/outcomes.py
+++ b/copperyard/outcomes.py
@@ -22,6 +22,9 @@
     ``LEAVING``: the proxy accepts no new requests.
     ``CLAIM_UNAVAILABLE``: the home of the request id, which is the member that
     permits its one run (see ``claims``), cannot do so now.
+    ``OVER_ALLOWANCE``: the tenant has used up its allowance.
+    ``ALLOWANCE_UNKNOWN``: the entry that counts the tenant's requests does not
+    answer.
     ``INTERNAL_ERROR``: an unexpected exception in the entry before anything was
     sent.
     """
@@ -44,6 +47,8 @@
     CONNECT_FAILED = 'connect_failed'
     SERVER_REFUSED = 'server_refused'
     CLAIM_UNAVAILABLE = 'claim_unavailable'
+    OVER_ALLOWANCE = 'over_allowance'
+    ALLOWANCE_UNKNOWN = 'allowance_unknown'
     INTERNAL_ERROR = 'internal_error'
 
 
--- a/tests/test_operations_page.py
+++ b/tests/test_operations_page.py
@@ -10,7 +10,7 @@
 _ROOT = Path(__file__).parent.parent
 _PAGE = (_ROOT / 'docs' / 'OPERATIONS.md').read_text()
 _CODE = '\n'.join(
-    path.read_text() for path in (_ROOT / 'copperyard').glob('*.py')
+    path.read_text() for path in (_ROOT / 'copperyard').rglob('*.py')
 )
 
 
