Choose the deputy of a tenant in another failure domain than its home

Cause: a failure domain is lost or cut off as a whole; with home and deputy in one domain, all requests of a tenant are refused until that is noticed.

Change: the deputy is the next of the ranking in another domain, or the second where there is one domain only.

Measured: the 68 tests of the allowances pass.

--- a/copperyard/allowances/known_entries.py
+++ b/copperyard/allowances/known_entries.py
@@ -1,7 +1,8 @@
 """The entries as the allowances need them: who is the home, and since when."""
 
 from bisect import bisect_right
-from dataclasses import dataclass
+from collections.abc import Mapping
+from dataclasses import dataclass, field
 from itertools import pairwise
 from typing import Final
 
@@ -37,11 +38,13 @@
     :param heard_ips: all other entries that are heard from.
     :param silent_ips: entries that are no longer heard from and have not said
         that they leave.
+    :param domains_by_ip: failure domains of those that serve callers.
     """
 
     ready_ips: frozenset[str]
     heard_ips: frozenset[str]
     silent_ips: frozenset[str] = _NO_IPS
+    domains_by_ip: Mapping[str, str] = field(default_factory=dict)
 
 
 @dataclass(frozen=True, slots=True)
@@ -49,8 +52,8 @@
     """The entries that decide for one tenant.
 
     :param home_ip: entry that keeps the tenant's bucket.
-    :param deputy_ip: entry that decides while the home does not answer; empty
-        if there is no other.
+    :param deputy_ip: entry that decides while the home does not answer, of
+        another failure domain if possible; empty if there is no other.
     :param since: since when this entry is the home, if it is.
     """
 
@@ -74,6 +77,7 @@
         # The entries among which homes are chosen, and since when each entry
         # serves callers.
         self._candidates: frozenset[str] = frozenset()
+        self._domains_by_ip: Mapping[str, str] = {}
         self._ready_at_by_ip: dict[str, float] = {}
         # Since when each other entry has been heard from.
         self._heard_at_by_ip: dict[str, float] = {}
@@ -109,6 +113,7 @@
         :returns: whether homes may have changed.
         """
         self._update_silent(sets, now)
+        self._domains_by_ip = sets.domains_by_ip
         self._heard_at_by_ip = _keep_first(
             self._heard_at_by_ip, sets.heard_ips, now
         )
@@ -238,7 +243,6 @@
 
         own_ip = self.own_ip
         ranked = sorted(self._candidates, key=find_score, reverse=True)
-        home_ip, deputy_ip = (*ranked[:2], '', '')[:2]
         own_score = find_score(own_ip)
         departures = [
             departed_at
@@ -246,11 +250,25 @@
             if ip != own_ip and find_score(ip) > own_score
         ]
         return Ranking(
-            home_ip or own_ip,
-            deputy_ip,
+            ranked[0] if ranked else own_ip,
+            self._choose_deputy(ranked),
             max((self._serves_since, *departures)),
         )
 
+    def _choose_deputy(self, ranked: list[str]) -> str:
+        """Return the next entry, of another failure domain if possible.
+
+        A failure domain is lost, or cut off, as a whole.
+        """
+        if len(ranked) < 2:
+            return ''
+        home_ip, *others = ranked
+        domains_by_ip = self._domains_by_ip
+        for ip in others:
+            if domains_by_ip.get(ip) != domains_by_ip.get(home_ip):
+                return ip
+        return others[0]
+
 
 def _keep_newer(
     times_by_ip: dict[str, float], start: float
--- a/copperyard/allowances/requests.py
+++ b/copperyard/allowances/requests.py
@@ -268,21 +268,27 @@
         board = self._board
         alive = self._peers.list_alive(now)
         heard_ips = frozenset(peer.heartbeat.ip for peer in alive)
-        ready_ips = {
-            peer.heartbeat.ip
+        domains_by_ip = {
+            peer.heartbeat.ip: peer.heartbeat.failure_domain
             for peer in alive
             if peer.heartbeat.is_ready
             and peer.heartbeat.formats >= HOME_FORMATS_MIN
         }
         if board.is_ready:
-            ready_ips.add(board.settings.ip)
+            settings = board.settings
+            domains_by_ip[settings.ip] = settings.failure_domain
         silent_ips = {
             ip
             for ip, peer in self._peers.peers_by_ip.items()
             if ip not in heard_ips
             and peer.heartbeat.status is not EntryStatus.LEAVING
         }
-        return EntrySets(frozenset(ready_ips), heard_ips, frozenset(silent_ips))
+        return EntrySets(
+            frozenset(domains_by_ip),
+            heard_ips,
+            frozenset(silent_ips),
+            domains_by_ip,
+        )
 
     def _handle_ask(self, ask: AllowanceAsk, now: float) -> None:
         self.check_entries(now)
--- a/tests/test_allowance_decisions.py
+++ b/tests/test_allowance_decisions.py
@@ -109,6 +109,15 @@
         assert decision == (expected or Referred(HOME))
 
 
+def test_deputy_is_of_another_failure_domain():
+    """Guards against a tenant whose home and deputy are lost together."""
+    domains = dict.fromkeys(IPS, 'a') | {RANKED[3]: 'b'}
+    known = KnownEntries(OTHER, 100)
+    known.update(EntrySets(IPS, IPS - {OTHER}, domains_by_ip=domains), 100)
+    assert known.rank('t').home_ip == HOME
+    assert known.rank('t').deputy_ip == RANKED[3]
+
+
 def test_repeated_question_takes_one_token():
     """An entry asks twice if the first answer is lost."""
     _, decider = build_decider(HOME)
