Test that the token of an expired grant is not returned

Cause: of seven rules taken out one at a time on a scratch copy, the tests missed only this one.

Change: a test with a tenant whose grants expire early.

Measured: it fails without the rule and passes with it.

--- a/tests/test_allowance_decisions.py
+++ b/tests/test_allowance_decisions.py
@@ -161,6 +161,19 @@
     assert isinstance(decider.decide(LIMIT, (OTHER, 4), 120), Refused)
 
 
+def test_token_of_an_expired_grant_is_not_returned():
+    """It would be spent in a window that did not count it.
+
+    Grants of tenants with a high rate expire early.
+    """
+    _, decider = build_decider(HOME)
+    fast = find_limit(Tenant('t', None, 60.0, 60.0), BOUNDS)
+    assert fast.lifetime_s < 0.25
+    for number, age_s, is_returned in ((1, 0.2, True), (2, 0.5, False)):
+        assert decider.decide(fast, (OTHER, number), 120) == Granted()
+        assert decider.give_back((OTHER, number), 120 + age_s) is is_returned
+
+
 def test_deputy_takes_a_request_back():
     """Its few grants are not used up by requests that did not run."""
     _, decider = build_decider(DEPUTY)
