--- a/copperyard/entry.py
+++ b/copperyard/entry.py
@@ -15,6 +15,7 @@
 from anyio.abc import AsyncResource, SocketStream, TaskGroup
 from returns.result import Failure
 
+from copperyard.allowances.requests import AllowanceTaker
 from copperyard.bounded_logs import BoundedLogHandler
 from copperyard.caller_connections import (
     CallerConnection,
@@ -92,6 +93,7 @@
             self._replica,
             self._random,
         )
+        self._allowances = AllowanceTaker(self.board, self._peers, self._random)
         self._connections: set[CallerConnection] = set()
         self._listeners: list[AsyncResource] = []
         self._stop_requested = anyio.Event()
@@ -110,7 +112,13 @@
             )
             group.start_soon(self._handle_signals, signals)
             dispatcher = self._build_dispatcher(group)
-            api = EntryApi(self.board, dispatcher, self._peers, self._replica)
+            api = EntryApi(
+                self.board,
+                dispatcher,
+                self._peers,
+                self._replica,
+                self._allowances,
+            )
             group.start_soon(
                 run_controller, api.keys.run, 'keys', self.board.metrics
             )
@@ -175,6 +183,7 @@
             'registration': poller.register,
             'rollouts': rollouts.run,
             'rollout_statuses': rollouts.run_statuses,
+            'allowances': self._allowances.run,
             'close_expired': self._close_expired,
             'settings': self._settings_reloader.run,
         }
--- a/copperyard/outcomes.py
+++ b/copperyard/outcomes.py
@@ -24,6 +24,9 @@
     permits its one run (see ``claims``), cannot do so now.
     ``UNAUTHENTICATED``: the request has no API key that a tenant holds.
     ``KEYS_OUTDATED``: the entry cannot know which API keys are still valid.
+    ``OVER_ALLOWANCE``: the tenant has used up its allowance.
+    ``ALLOWANCE_UNKNOWN``: the entry that counts the tenant's requests does not
+    answer.
     ``INTERNAL_ERROR``: an unexpected exception in the entry before anything was
     sent.
     """
@@ -48,6 +51,8 @@
     CLAIM_UNAVAILABLE = 'claim_unavailable'
     UNAUTHENTICATED = 'unauthenticated'
     KEYS_OUTDATED = 'keys_outdated'
+    OVER_ALLOWANCE = 'over_allowance'
+    ALLOWANCE_UNKNOWN = 'allowance_unknown'
     INTERNAL_ERROR = 'internal_error'
 
 
