--- a/tests/entry_processes.py
+++ b/tests/entry_processes.py
@@ -30,7 +30,7 @@
 readiness = "{ip}:{readiness}"
 registry = "{ip}:{lookup}"
 [limits]
-max-fds = 4100
+{limits}
 [bounds]
 grace-s = 3
 retry-budget-ratio = 0.2
@@ -44,14 +44,26 @@
 """
 
 
+LIMITS = 'max-fds = 4100'
+
+
 class Entry:
     """An entry process, and a client for its interfaces.
 
     :param code: folder with the code of another build; ``None`` for this one.
+    :param limits: lines of the section ``limits`` of its settings.
     """
 
     def __init__(
-        self, ip, folder, store, zone='a', *, binds_source=False, code=None
+        self,
+        ip,
+        folder,
+        store,
+        zone='a',
+        *,
+        binds_source=False,
+        code=None,
+        limits=LIMITS,
     ):
         self.ip = ip
         self.client = HttpClient()
@@ -61,6 +73,7 @@
                 ip=ip,
                 zone=zone,
                 store=store,
+                limits=limits,
                 entries=ENTRY_PORT,
                 callers=CALLER_PORT,
                 readiness=READINESS_PORT,
@@ -149,11 +162,9 @@
 
 
 @asynccontextmanager
-async def run_entries(folder, store, *ips, binds_source=False):
+async def run_entries(folder, store, *ips, **options):
     """Run ready entry processes, and kill them at the end."""
-    started = [
-        Entry(ip, folder, store, binds_source=binds_source) for ip in ips
-    ]
+    started = [Entry(ip, folder, store, **options) for ip in ips]
     try:
         for entry in started:
             assert await wait_until(entry.is_ready, 15)
