--- a/copperyard/caller_connections.py
+++ b/copperyard/caller_connections.py
@@ -6,7 +6,6 @@
 at which a connection closes, and pipelined requests that are still waiting.
 """
 
-import re
 from collections import deque
 from collections.abc import Awaitable, Callable
 from contextlib import ExitStack
@@ -15,7 +14,6 @@
 
 import anyio
 from anyio.abc import SocketAttribute, SocketStream
-from httptools import HttpParserError, HttpParserUpgrade, HttpRequestParser
 
 from copperyard.attempt_types import AttemptFailure
 from copperyard.caller_responses import (
@@ -27,12 +25,12 @@
 from copperyard.fault_barriers import FaultBarrier
 from copperyard.metrics import Metrics
 from copperyard.outcomes import (
-    Header,
     NotRun,
     RefusalReason,
     Unknown,
     UnknownReason,
 )
+from copperyard.request_reader import ReceivedRequest, RequestReader
 from copperyard.routes import RequestLimits
 
 # Typical size of a socket's receive buffer.
@@ -49,15 +47,7 @@
 LINGER_S: Final = 0.5
 LOGGED_TARGET_BYTES_MAX: Final = 256
 
-_CONNECT: Final = b'CONNECT'
-_HOST: Final = b'host'
-_ABSOLUTE_FORM_PATTERN: Final = re.compile(
-    rb'https?://(?P<host>[^/?@]+)(?=[/?]|$)', re.IGNORECASE
-)
 _CONTINUE_RESPONSE: Final = b'HTTP/1.1 100 Continue\r\n\r\n'
-_EXCEEDED_LIMITS: Final = frozenset(
-    (RefusalReason.BODY_TOO_LARGE, RefusalReason.HEAD_TOO_LARGE)
-)
 _DISCONNECT_ERRORS: Final = (
     anyio.EndOfStream,
     anyio.BrokenResourceError,
@@ -66,31 +56,6 @@
 )
 
 
-@dataclass(slots=True)
-class ReceivedRequest:
-    """A request as received from a caller.
-
-    :param method: HTTP method.
-    :param target: raw path with query.
-    :param headers: all headers in the order received, names in lower case.
-    :param received_at: time at which the head was complete,
-        ``CLOCK_BOOTTIME`` in seconds.
-    :param is_keep_alive: whether the caller keeps the connection open.
-    :param body: the complete body.
-    :param caller_ip: IP address of the caller.
-    :param is_dispatched: set before the request may be sent to a server.
-    """
-
-    method: str
-    target: bytes
-    headers: tuple[Header, ...]
-    received_at: float
-    is_keep_alive: bool
-    body: bytes = b''
-    caller_ip: str = ''
-    is_dispatched: bool = False
-
-
 @dataclass(slots=True)
 class _PendingResponse:
     """The response to a request, which may not be available yet."""
@@ -105,181 +70,6 @@
         self.ready.set()
 
 
-class _RequestReader:
-    """Builds requests from the callbacks of the parser."""
-
-    def __init__(
-        self,
-        find_limits: Callable[[], RequestLimits],
-        clock: Callable[[], float],
-        caller_ip: str,
-    ) -> None:
-        self.is_in_head = False
-        self.is_in_body = False
-        self.head_started_at = 0.0
-        self.wants_continue = False
-        self.refusal: RefusalReason | None = None
-        self.complete_requests: deque[ReceivedRequest] = deque()
-        self._find_limits = find_limits
-        # In force when the newest request began.
-        self.limits = find_limits()
-        self._clock = clock
-        self._caller_ip = caller_ip
-        self._parser = HttpRequestParser(self)
-        self._target: list[bytes] = []
-        self._headers: list[Header] = []
-        self._parts: list[bytes] = []
-        self._parsed_head_bytes = 0
-        self._received_head_bytes = 0
-        # Bytes received since the last part of the body, as far as known.
-        self._trailer_bytes = 0
-        self._body_bytes = 0
-        self._complete_count = 0
-        self._request: ReceivedRequest | None = None
-
-    def feed(self, content: bytes) -> None:
-        """Parse received bytes and record the first reason to refuse them."""
-        count_before = self._complete_count
-        body_bytes_before = self._body_bytes
-        was_in_body = self.is_in_body
-        try:
-            self._parser.feed_data(content)
-        except HttpParserUpgrade:
-            # The request to upgrade is answered without upgrading, and its
-            # response closes the connection. Bytes behind it are ignored.
-            if self._request is not None:
-                self._record_refusal(RefusalReason.BAD_REQUEST)
-        except HttpParserError:
-            self._record_refusal(RefusalReason.BAD_REQUEST)
-        # The parser reports a header or trailer field only when it is complete.
-        # Counting the received bytes too limits one that never ends.
-        if count_before != self._complete_count:
-            return
-        if self.is_in_head:
-            self._received_head_bytes += len(content)
-        elif self._body_bytes != body_bytes_before:
-            self._trailer_bytes = 0
-        elif was_in_body:
-            self._trailer_bytes += len(content)
-        if (
-            max(self._received_head_bytes, self._trailer_bytes)
-            > self.limits.head_bytes
-        ):
-            self._record_refusal(RefusalReason.HEAD_TOO_LARGE)
-
-    def on_message_begin(self) -> None:
-        self.is_in_head = True
-        self.limits = self._find_limits()
-        self.head_started_at = self._clock()
-        self._target = []
-        self._headers = []
-        self._parts = []
-        self._parsed_head_bytes = 0
-        self._received_head_bytes = 0
-        self._trailer_bytes = 0
-        self._body_bytes = 0
-
-    def on_url(self, part: bytes) -> None:
-        self._target.append(part)
-        self._count_head_bytes(len(part))
-
-    def on_header(self, name: bytes, value: bytes) -> None:
-        self._headers.append((name.lower(), value.strip(b' \t')))
-        self._count_head_bytes(len(name) + len(value) + 4)
-
-    def on_headers_complete(self) -> None:
-        self.is_in_head = False
-        self.is_in_body = True
-        target = self._read_target()
-        names = [name for name, _ in self._headers]
-        method = self._parser.get_method()
-        if (
-            names.count(_HOST) != 1
-            or not self._is_supported(method, target)
-            or not self._has_known_coding()
-        ):
-            self._record_refusal(RefusalReason.BAD_REQUEST)
-        self._check_content_length()
-        self.wants_continue = (b'expect', b'100-continue') in self._headers
-        self._request = ReceivedRequest(
-            method=method.decode('latin-1'),
-            target=target,
-            headers=tuple(self._headers),
-            received_at=self._clock(),
-            caller_ip=self._caller_ip,
-            is_keep_alive=(
-                self._parser.should_keep_alive()
-                and not self._parser.should_upgrade()
-            ),
-        )
-
-    def on_body(self, part: bytes) -> None:
-        self._body_bytes += len(part)
-        if self._body_bytes > self.limits.body_bytes:
-            self._record_refusal(RefusalReason.BODY_TOO_LARGE)
-        else:
-            self._parts.append(part)
-
-    def on_message_complete(self) -> None:
-        self.is_in_body = False
-        self.wants_continue = False
-        self._complete_count += 1
-        if self._request is not None and self.refusal is None:
-            self._request.body = b''.join(self._parts)
-            self.complete_requests.append(self._request)
-        self._request = None
-
-    def _read_target(self) -> bytes:
-        """Return the target in origin form.
-
-        A target in absolute form replaces the ``Host`` header (RFC 9112,
-        3.2.2).
-        """
-        target = b''.join(self._target)
-        match = _ABSOLUTE_FORM_PATTERN.match(target)
-        if match is None:
-            return target
-        self._headers = [
-            (name, match['host'] if name == _HOST else value)
-            for name, value in self._headers
-        ]
-        path = target[match.end() :]
-        return path if path.startswith(b'/') else b'/%b' % path
-
-    def _is_supported(self, method: bytes, target: bytes) -> bool:
-        return (
-            target.startswith(b'/')
-            and method != _CONNECT
-            and self._parser.get_http_version() == '1.1'
-        )
-
-    def _has_known_coding(self) -> bool:
-        # The header is not forwarded, so only the coding that is decoded here
-        # leaves the body unchanged.
-        codings = [
-            value.lower()
-            for name, value in self._headers
-            if name == b'transfer-encoding'
-        ]
-        return codings in ([], [b'chunked'])
-
-    def _check_content_length(self) -> None:
-        length = dict(self._headers).get(b'content-length', b'0')
-        if length.isdigit() and int(length) > self.limits.body_bytes:
-            self._record_refusal(RefusalReason.BODY_TOO_LARGE)
-
-    def _count_head_bytes(self, size: int) -> None:
-        self._parsed_head_bytes += size
-        if self._parsed_head_bytes > self.limits.head_bytes:
-            self._record_refusal(RefusalReason.HEAD_TOO_LARGE)
-
-    def _record_refusal(self, fault: RefusalReason) -> None:
-        if fault in _EXCEEDED_LIMITS and not self.limits.are_known:
-            fault = RefusalReason.NOT_READY
-        if self.refusal is None:
-            self.refusal = fault
-
-
 Handler = Callable[[ReceivedRequest], Awaitable[CallerResponse]]
 
 
@@ -317,7 +107,7 @@
     ) -> None:
         self._stream = stream
         self._callbacks = callbacks
-        self._reader = _RequestReader(
+        self._reader = RequestReader(
             callbacks.find_limits, callbacks.clock, _find_caller_ip(stream)
         )
         self._pending_responses: deque[_PendingResponse] = deque()
--- a/copperyard/entry_api.py
+++ b/copperyard/entry_api.py
@@ -4,7 +4,6 @@
 from dataclasses import replace
 from typing import Final
 
-from copperyard.caller_connections import ReceivedRequest
 from copperyard.caller_responses import CallerResponse, build_response
 from copperyard.clock import MILLISECONDS_PER_S
 from copperyard.dispatching import Dispatcher
@@ -30,6 +29,7 @@
     encode_lookup,
     read_caller_domain,
 )
+from copperyard.request_reader import ReceivedRequest
 from copperyard.request_states import DispatchOutcome, RequestState
 from copperyard.requests import FORWARDED_HEADER, HOP_BY_HOP_HEADERS
 from copperyard.routes import RequestLimits, Route
--- a/copperyard/forwarded_serving.py
+++ b/copperyard/forwarded_serving.py
@@ -4,7 +4,6 @@
 from dataclasses import replace
 from typing import Final
 
-from copperyard.caller_connections import ReceivedRequest
 from copperyard.caller_responses import CallerResponse, build_response
 from copperyard.clock import MILLISECONDS_PER_S
 from copperyard.dispatching import Dispatcher
@@ -24,6 +23,7 @@
 from copperyard.logs import log_event
 from copperyard.message_formats import UnknownKinds
 from copperyard.outcomes import Answered, NotRun, RefusalReason, Unknown
+from copperyard.request_reader import ReceivedRequest
 from copperyard.request_states import DispatchOutcome, RequestState
 from copperyard.requests import (
     DEADLINE_HEADER,
--- a/tests/test_entry_api.py
+++ b/tests/test_entry_api.py
@@ -6,12 +6,12 @@
 import anyio
 import pytest
 
-from copperyard.caller_connections import ReceivedRequest
 from copperyard.clock import seconds_since_boot
 from copperyard.dispatching import Dispatcher
 from copperyard.entry_api import EntryApi
 from copperyard.exchanges import BackendPool
 from copperyard.outcomes import Answered, NotRun, RefusalReason
+from copperyard.request_reader import ReceivedRequest
 from tests.entry_builders import build_board, build_report
 
 pytestmark = [pytest.mark.anyio, pytest.mark.timeout(20)]
--- a/tests/test_peer_forwarding.py
+++ b/tests/test_peer_forwarding.py
@@ -13,7 +13,6 @@
 from copperyard.caller_connections import (
     CallerConnection,
     ListenerCallbacks,
-    ReceivedRequest,
 )
 from copperyard.caller_responses import build_response
 from copperyard.clock import seconds_since_boot
@@ -40,6 +39,7 @@
     UnknownReason,
 )
 from copperyard.peer_forwarding import PeerForwarder
+from copperyard.request_reader import ReceivedRequest
 from copperyard.requests import FORWARDED_HEADER
 from copperyard.routes import RequestLimits
 from tests.entry_builders import (
--- a/tests/test_server_links.py
+++ b/tests/test_server_links.py
@@ -7,7 +7,6 @@
 import msgspec
 import pytest
 
-from copperyard.caller_connections import ReceivedRequest
 from copperyard.entry_api import EntryApi
 from copperyard.entry_messages import (
     LISTED_SERVICES_MAX,
@@ -17,6 +16,7 @@
 from copperyard.entry_peers import LISTED_SERVICES, EntryPeers
 from copperyard.entry_view import EntryPeer
 from copperyard.link_controller import LinkController
+from copperyard.request_reader import ReceivedRequest
 from copperyard.server_links import SILENCE_MIN_S, ServerLinks
 from tests.entry_builders import (
     ManualClock,
