Wait for the body limit in the tests of uncontrolled clients

Cause: the configuration of these tests had the version of the stand-in's first one. An entry that read both in one page kept the first, with its limit of 4096 bytes, and refused the crowd: peaks of 34 to 43 MB, and a 413 for the largest body.

Change: the configuration has a later version, and a body of 64 KiB has to be served before the crowd starts. The peaks are printed by their parts. Crowds and bounds are unchanged.

--- a/tests/test_uncontrolled_clients.py
+++ b/tests/test_uncontrolled_clients.py
@@ -87,6 +87,8 @@
         self._entry = entry
         self.descriptors = 0
         self.memory_bytes = 0
+        self.resident_bytes = 0
+        self.unread_bytes = 0
 
     def sample(self):
         """Record the highest values."""
@@ -98,6 +100,8 @@
             if line.startswith(('VmHWM', 'VmRSS'))
         }
         unread_bytes = _count_unread(folder / 'net/tcp', self._entry.ip)
+        self.resident_bytes = sizes.get('VmHWM', 0)
+        self.unread_bytes = max(self.unread_bytes, unread_bytes)
         self.memory_bytes = max(
             self.memory_bytes,
             sizes.get('VmHWM', 0),
@@ -128,7 +132,8 @@
 
 def build_limited_configuration(body_bytes):
     """Return a configuration with a limit on bodies and patient timeouts."""
-    configuration = build_configuration(**{'timeout-s': 30})
+    # The stand-in's first configuration has version 1.
+    configuration = build_configuration(2, **{'timeout-s': 30})
     for resource in configuration['resources']:
         if resource['resource-kind'] == 'limits':
             resource['spec']['max-body-bytes'] = body_bytes
@@ -161,21 +166,22 @@
             binds_source=True,
             limits=limits,
         ) as (entry,):
+            assert await wait_until(_takes_bodies, ANSWER_S)
             usage = Usage(entry)
             watching = asyncio.create_task(usage.watch())
             connections = []
             yield connections
-            is_answered = await wait_until(
-                lambda: _is_answered(entry), ANSWER_S
-            )
+            is_answered = await wait_until(_is_answered, ANSWER_S)
             watching.cancel()
             for connection in connections:
                 connection.transport.abort()
             print(
                 f'\npeak {usage.memory_bytes / MEGABYTE:.0f} MB of '
-                f'{memory_mb} MB, {usage.descriptors} descriptors of '
-                f'{DESCRIPTORS_MAX}, answered: {is_answered}, '
-                f'status: {entry.process.poll()}'
+                f'{memory_mb} MB, resident '
+                f'{usage.resident_bytes / MEGABYTE:.0f}, unread '
+                f'{usage.unread_bytes / MEGABYTE:.0f}, '
+                f'{usage.descriptors} descriptors of {DESCRIPTORS_MAX}, '
+                f'answered: {is_answered}, status: {entry.process.poll()}'
             )
             assert entry.process.poll() is None
             assert usage.memory_bytes <= memory_mb * MEGABYTE
@@ -183,7 +189,13 @@
             assert is_answered
 
 
-async def _is_answered(entry):
+async def _takes_bodies():
+    """Return whether the configuration with the larger limit is in force."""
+    answer = await _exchange(CALLER_PORT, b'POST', b'/write/x', PIECE)
+    return answer.startswith(b'HTTP/1.1 200')
+
+
+async def _is_answered():
     try:
         answer = await asyncio.wait_for(
             _exchange(CALLER_PORT, b'GET', b'/read/x', b''), ANSWER_S / 2
