Give the entry of test_uncontrolled_clients.py a port of its own

Cause: an entry of another test run on the same machine told it its configuration and servers over the shared port; two of four runs of one test then waited in vain for the limit on bodies.

Change: the port for other entries is an argument of the tests' Entry. Crowds and bounds are unchanged.

--- a/tests/entry_processes.py
+++ b/tests/entry_processes.py
@@ -52,6 +52,8 @@
 
     :param code: folder with the code of another build; ``None`` for this one.
     :param limits: lines of the section ``limits`` of its settings.
+    :param entry_port: port for other entries; those of other tests that run at
+        the same time do not find it on another one.
     """
 
     def __init__(
@@ -64,6 +66,7 @@
         binds_source=False,
         code=None,
         limits=LIMITS,
+        entry_port=ENTRY_PORT,
     ):
         self.ip = ip
         self.client = HttpClient()
@@ -74,7 +77,7 @@
                 zone=zone,
                 store=store,
                 limits=limits,
-                entries=ENTRY_PORT,
+                entries=entry_port,
                 callers=CALLER_PORT,
                 readiness=READINESS_PORT,
                 lookup=LOOKUP_PORT,
--- a/tests/test_uncontrolled_clients.py
+++ b/tests/test_uncontrolled_clients.py
@@ -19,7 +19,6 @@
 
 from tests.entry_processes import (
     CALLER_PORT,
-    ENTRY_PORT,
     run_entries,
     wait_until,
 )
@@ -32,6 +31,8 @@
 
 pytestmark = [pytest.mark.anyio, pytest.mark.timeout(120)]
 IP = '127.0.0.83'
+# Not that of other tests, whose entries would tell this one their state.
+ENTRY_PORT = 17730
 MEGABYTE = 1_000_000
 MIB = 1024 * 1024
 # Settings of the crowds. A process without requests needs about half of this.
@@ -165,6 +166,7 @@
             IP,
             binds_source=True,
             limits=limits,
+            entry_port=ENTRY_PORT,
         ) as (entry,):
             assert await wait_until(_takes_bodies, ANSWER_S)
             usage = Usage(entry)
