Account for the bytes that an entry holds for callers and servers

Cause: nothing bounded the sum of bodies and answers. A body was held three times; a stream of anyio reads ahead without bound from the moment a connection is accepted (49 MB for one chunked body that was refused at 8 MiB); glibc kept freed memory; incomplete requests could use all descriptors.

Change: copperyard/memory/ has one account for the process, with a limit of memory-mb less what the process needs. Requests reserve before they are read (announced bodies whole), answers before they are buffered. Reading stops while memory is short; after 1 s, or 0.25 s if bodies wait for each other, requests are refused as no_memory (503, Retry-After, also to an entry that forwarded them); bodies without progress are dropped. Answers that do not fit are streamed, and a connection with unsent answers runs no further requests. A body exists once: one buffer, and head and body are written separately. Receive buffers are bounded by the number of connections, and descriptors by refusing incomplete requests and by a limit on connections to servers.

--- a/copperyard/caller_connections.py
+++ b/copperyard/caller_connections.py
@@ -7,7 +7,7 @@
 """
 
 from collections import deque
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Sequence
 from contextlib import ExitStack
 from dataclasses import dataclass, field
 from typing import Final
@@ -23,18 +23,27 @@
     uses_chunked_coding,
 )
 from copperyard.fault_barriers import FaultBarrier
+from copperyard.memory.connection_memory import (
+    WRITE_PART_BYTES,
+    ConnectionMemory,
+)
+from copperyard.memory.memory_account import HolderKind, Standing
+from copperyard.memory.process_memory import ProcessMemory
 from copperyard.metrics import Metrics
 from copperyard.outcomes import (
+    Header,
     NotRun,
     RefusalReason,
     Unknown,
     UnknownReason,
 )
-from copperyard.request_reader import ReceivedRequest, RequestReader
+from copperyard.request_reader import (
+    READ_BUFFER_BYTES,
+    ReceivedRequest,
+    RequestReader,
+)
 from copperyard.routes import RequestLimits
 
-# Typical size of a socket's receive buffer.
-READ_BUFFER_BYTES: Final = 64 * 1024
 # Reading from a connection pauses while this many of its requests are in
 # flight.
 PIPELINED_REQUESTS_MAX: Final = 16
@@ -46,8 +55,13 @@
 # How long a caller may take to close its side after the last response.
 LINGER_S: Final = 0.5
 LOGGED_TARGET_BYTES_MAX: Final = 256
+# Most bodies that hold memory are sent to a server within this time.
+OVERLOAD_RETRY_AFTER_S: Final = 1.0
 
 _CONTINUE_RESPONSE: Final = b'HTTP/1.1 100 Continue\r\n\r\n'
+_OVERLOADS: Final = frozenset(
+    (RefusalReason.NO_MEMORY, RefusalReason.NO_CONNECTION)
+)
 _DISCONNECT_ERRORS: Final = (
     anyio.EndOfStream,
     anyio.BrokenResourceError,
@@ -71,6 +85,11 @@
 
 
 Handler = Callable[[ReceivedRequest], Awaitable[CallerResponse]]
+RefusalBuilder = Callable[[NotRun, Sequence[Header]], CallerResponse]
+
+
+def _build_refusal(outcome: NotRun, _: Sequence[Header]) -> CallerResponse:
+    return build_response(outcome)
 
 
 @dataclass(frozen=True, slots=True)
@@ -85,6 +104,10 @@
     :param record_refusal: called with the reason if a request is refused while
         it is being read.
     :param metrics: counters of the process.
+    :param build_refusal: returns the response to a request that is refused
+        while it is being read, from its headers so far.
+    :param memory: account of the bytes that the process holds.
+    :param holder_kind: what the requests count as there.
     """
 
     handle: Handler
@@ -93,6 +116,9 @@
     clock: Callable[[], float]
     record_refusal: Callable[[RefusalReason], None]
     metrics: Metrics
+    build_refusal: RefusalBuilder = _build_refusal
+    memory: ProcessMemory = field(default_factory=ProcessMemory)
+    holder_kind: HolderKind = HolderKind.REQUESTS
 
 
 class CallerConnection:
@@ -107,9 +133,16 @@
     ) -> None:
         self._stream = stream
         self._callbacks = callbacks
+        caller_ip = _find_caller_ip(stream)
         self._reader = RequestReader(
-            callbacks.find_limits, callbacks.clock, _find_caller_ip(stream)
+            callbacks.find_limits, callbacks.clock, caller_ip
+        )
+        self._memory = ConnectionMemory(
+            callbacks.memory, callbacks.holder_kind, caller_ip
         )
+        self._scope = anyio.CancelScope()
+        # Whether it is about to be closed after a refusal.
+        self.is_refused = False
         self._pending_responses: deque[_PendingResponse] = deque()
         self._response_enqueued = anyio.Event()
         self._response_sent = anyio.Event()
@@ -149,14 +182,54 @@
                 self._refuse(RefusalReason.LEAVING)
             self._is_reading = False
 
+    def find_standing(self) -> Standing | None:
+        """Return what would be free if the connection were dropped."""
+        return self._memory.build_standing(
+            self._last_active_at, has_pending=bool(self._pending_responses)
+        )
+
+    def drop(self) -> None:
+        """Refuse an incomplete request, or drop answers that are not read."""
+        if self._pending_responses:
+            self._memory.record_refusal()
+            self._scope.cancel()
+        elif self._is_reading:
+            self._refuse(RefusalReason.NO_MEMORY)
+            self._is_reading = False
+
+    @property
+    def is_reading_request(self) -> bool:
+        """Return whether all it does is to read its first request."""
+        return (
+            self._is_reading
+            and not self._pending_responses
+            and (self._reader.is_in_head or self._reader.is_in_body)
+        )
+
+    def find_progress_at(self) -> float:
+        """Return when it last received a byte or sent one."""
+        return self._last_active_at
+
+    def refuse_for_room(self) -> None:
+        """Refuse the request that is being read, to close the connection."""
+        self._refuse(RefusalReason.NO_CONNECTION)
+        self._is_reading = False
+
+    def abort(self) -> None:
+        """Close the connection at once."""
+        self._scope.cancel()
+        self.is_refused = False
+
     async def run(self) -> None:
         """Serve the connection until either side closes it."""
         with ExitStack() as stack:
+            stack.callback(self._memory.close)
             stack.callback(self._close_responses)
             stack.enter_context(
                 FaultBarrier(self._callbacks.metrics, 'connection')
             )
             async with self._stream, anyio.create_task_group() as group:
+                self._scope = group.cancel_scope
                 group.start_soon(self._write_responses, group.cancel_scope)
                 await self._read(group)
 
@@ -172,6 +245,7 @@
                 group.cancel_scope.cancel()
                 return
             await self._process_bytes(content, group)
+            await self._reserve_memory()
             await self._send_continue()
         await self._wait_for_disconnect(group)
 
@@ -183,11 +257,24 @@
             reader.feed(content)
         else:
             reader.refusal = RefusalReason.TOO_SLOW
+        if not self._memory.take(reader.held_bytes):
+            reader.discard()
+            reader.refusal = RefusalReason.NO_MEMORY
         await self._start_requests(group)
         if reader.refusal is not None and self._is_reading:
             self._refuse(reader.refusal)
             self._is_reading = False
 
+    async def _reserve_memory(self) -> None:
+        """Wait until there is memory for the next bytes, or refuse them."""
+        is_reserved = not self._is_reading or await self._memory.prepare(
+            self._reader.wanted_bytes
+        )
+        # The end of a drain may have refused the request meanwhile.
+        if self._is_reading and not is_reserved:
+            self._refuse(RefusalReason.NO_MEMORY)
+            self._is_reading = False
+
     async def _send_continue(self) -> None:
         # The responses to earlier requests come first.
         if self._reader.wants_continue and not self._pending_responses:
@@ -251,11 +338,15 @@
 
     async def _start_requests(self, group: anyio.abc.TaskGroup) -> None:
         while self._reader.complete_requests and self._is_reading:
-            if len(self._pending_responses) >= PIPELINED_REQUESTS_MAX:
+            if (
+                len(self._pending_responses) >= PIPELINED_REQUESTS_MAX
+                or self._memory.is_clogged
+            ):
                 self._response_sent = anyio.Event()
                 await self._response_sent.wait()
                 continue
-            request = self._reader.complete_requests.popleft()
+            request = self._reader.take_complete()
+            self._memory.start(request.held_bytes)
             pending = _PendingResponse(
                 request.method == 'HEAD', request.is_keep_alive
             )
@@ -273,9 +364,16 @@
             target=request.target[:LOGGED_TARGET_BYTES_MAX].decode('latin-1'),
         ):
             response = await self._callbacks.handle(request)
-        pending.complete(
-            response or self._build_internal_error_response(request)
+        self._complete(
+            pending, response or self._build_internal_error_response(request)
         )
+        self._memory.finish(request.held_bytes)
+
+    def _complete(
+        self, pending: _PendingResponse, response: CallerResponse
+    ) -> None:
+        self._memory.unsent_bytes += len(response.body)
+        pending.complete(response)
 
     def _build_internal_error_response(
         self, request: ReceivedRequest
@@ -288,8 +386,20 @@
 
     def _refuse(self, fault: RefusalReason) -> None:
         pending = _PendingResponse(is_head=False, is_keep_alive=False)
-        pending.complete(build_response(NotRun(fault)))
+        refusal = NotRun(fault)
+        if fault in _OVERLOADS:
+            refusal = NotRun(fault, OVERLOAD_RETRY_AFTER_S)
+        if fault is RefusalReason.NO_MEMORY:
+            self._memory.record_refusal()
         self._callbacks.record_refusal(fault)
+        self._complete(
+            pending,
+            self._callbacks.build_refusal(refusal, self._reader.headers),
+        )
+        self._reader.discard()
+        self._memory.discard()
+        # Others may wait for earlier responses, which are not to be cut.
+        self.is_refused = not self._pending_responses
         self._enqueue(pending)
 
     def _enqueue(self, pending: _PendingResponse) -> None:
@@ -301,14 +411,9 @@
             if not self._pending_responses:
                 self._response_enqueued = anyio.Event()
                 await self._response_enqueued.wait()
-            pending = self._pending_responses[0]
-            await pending.ready.wait()
-            is_keep_alive = self._keeps_alive(pending)
-            if not await self._send_response(pending, is_keep_alive):
-                scope.cancel()
-                return
-            if not is_keep_alive:
-                await self._linger()
+            await self._pending_responses[0].ready.wait()
+            # A variable here would keep the body until the next response.
+            if not await self._write_response(self._pending_responses[0]):
                 scope.cancel()
                 return
             self._pending_responses.popleft()
@@ -316,6 +421,15 @@
             self._response_sent.set()
             await self._send_continue()
 
+    async def _write_response(self, pending: _PendingResponse) -> bool:
+        """Send a response and return whether the connection stays open."""
+        is_keep_alive = self._keeps_alive(pending)
+        if not await self._send_response(pending, is_keep_alive):
+            return False
+        if not is_keep_alive:
+            await self._linger()
+        return is_keep_alive
+
     async def _linger(self) -> None:
         """Let the caller close first.
 
@@ -355,12 +469,25 @@
             response, is_keep_alive=is_keep_alive, is_head=pending.is_head
         )
         body = b'' if pending.is_head else response.body
-        if not await self._send(head + body):
+        if not await self._send_whole(head, body):
             return False
+        self._memory.unsent_bytes -= len(response.body)
         if response.stream is not None and not pending.is_head:
             return await self._send_stream(response)
         return True
 
+    async def _send_whole(self, head: bytes, body: bytes) -> bool:
+        if len(body) <= WRITE_PART_BYTES:
+            return await self._send(head + body)
+        is_sent = await self._send(head)
+        for start in range(0, len(body), WRITE_PART_BYTES):
+            if not is_sent:
+                break
+            part = body[start : start + WRITE_PART_BYTES]
+            is_sent = await self._send(part)
+            self._last_active_at = self._callbacks.clock()
+        return is_sent
+
     async def _send_stream(self, response: CallerResponse) -> bool:
         stream = response.stream
         chunked = uses_chunked_coding(response)
--- a/copperyard/caller_responses.py
+++ b/copperyard/caller_responses.py
@@ -49,6 +49,7 @@
         parts.
     :param closes_connection: whether the connection is closed after the
         response.
+    :param hold: keeps the memory of the body reserved while it exists.
     """
 
     status: int
@@ -56,6 +57,7 @@
     body: bytes = b''
     stream: StreamedResponse | None = None
     closes_connection: bool = False
+    hold: object | None = None
 
 
 def build_response(
@@ -68,7 +70,12 @@
     """
     match outcome:
         case Answered():
-            return CallerResponse(outcome.status, outcome.headers, outcome.body)
+            return CallerResponse(
+                outcome.status,
+                outcome.headers,
+                outcome.body,
+                hold=outcome.hold,
+            )
         case StreamedResponse():
             return CallerResponse(
                 outcome.status, outcome.headers, stream=outcome
--- a/copperyard/connections.py
+++ b/copperyard/connections.py
@@ -22,6 +22,7 @@
 
 from copperyard.attempt_types import ServerAddress
 from copperyard.clock import seconds_since_boot
+from copperyard.memory.process_memory import ProcessMemory
 from copperyard.settings import split_address
 
 # A server may close an idle connection just as a request is written to it, so
@@ -72,6 +73,13 @@
             )
         return error
 
+    def set_receive_buffer(self, size: int) -> None:
+        """Bound the bytes that the kernel holds until they are read.
+
+        :param size: bytes; the kernel adds room for its own data.
+        """
+        self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, size)
+
     def write_nowait(self, content: bytes | memoryview) -> int:
         """Write as much as the socket accepts without blocking.
 
@@ -132,14 +140,22 @@
         connection idle for less than ``FRESH_IDLE_MAX_S``. Keep-alive timeouts
         are longer, so the server has probably restarted. Unread bytes alone
         are no such sign.
+    :param memory: account of the bytes that the process holds; without limit
+        by default.
+    :ivar connections_max: connections to all servers together; a server
+        without any gets one beyond it.
     """
 
     def __init__(
         self,
         clock: Callable[[], float] = seconds_since_boot,
         on_reset: Callable[[str], None] | None = None,
+        memory: ProcessMemory | None = None,
     ) -> None:
         self.clock = clock
+        self.memory = memory or ProcessMemory()
+        self.connections_max = math.inf
+        self._connection_count = 0
         self.on_reset = on_reset
         self._connections_by_server: dict[str, set[Connection]] = {}
         self._idle_by_server: dict[str, list[Connection]] = {}
@@ -239,8 +255,8 @@
         been idle longest.
 
         :param server: backend server to connect to.
-        :returns: a connection that is not open yet; ``None`` if the limit is
-            reached and no connection is idle.
+        :returns: a connection that is not open yet; ``None`` if the limit of
+            the server or of the pool is reached and no connection is idle.
         """
         connections = self._connections_by_server.setdefault(
             server.server_id, set()
@@ -250,7 +266,15 @@
             if not idle:
                 return None
             self.close(idle[0])
+        elif connections and self._connection_count >= self.connections_max:
+            if not self._idle_by_server:
+                return None
+            self.close(next(iter(self._idle_by_server.values()))[0])
         connection = Connection(server, self.clock())
+        self._connection_count += 1
+        size = self.memory.find_receive_buffer(self._connection_count)
+        if size is not None:
+            connection.set_receive_buffer(size)
         connections.add(connection)
         return connection
 
@@ -271,6 +295,8 @@
         connection.close()
         server_id = connection.server_id
         opened = self._connections_by_server.get(server_id, set())
+        if connection in opened:
+            self._connection_count -= 1
         opened.discard(connection)
         if not opened:
             self._connections_by_server.pop(server_id, None)
--- a/copperyard/entry.py
+++ b/copperyard/entry.py
@@ -6,13 +6,18 @@
 import sys
 from collections.abc import AsyncIterator
 from contextlib import AsyncExitStack
+from dataclasses import replace
 from functools import partial
 from pathlib import Path
 from random import Random
 from typing import Final
 
 import anyio
-from anyio.abc import AsyncResource, SocketStream, TaskGroup
+from anyio.abc import (
+    AsyncResource,
+    SocketStream,
+    TaskGroup,
+)
 from returns.result import Failure
 
 from copperyard.bounded_logs import BoundedLogHandler
@@ -30,9 +35,16 @@
 from copperyard.exchanges import BackendPool
 from copperyard.fault_barriers import FaultBarrier, run_controller
 from copperyard.link_controller import LinkController
-from copperyard.listeners import accept_connections
+from copperyard.listeners import (
+    accept_connections,
+    bound_receiving,
+    bound_waiting,
+)
 from copperyard.load_probing import LoadProber
 from copperyard.logs import configure_logs, log_event
+from copperyard.memory.allocator import return_freed_memory
+from copperyard.memory.memory_account import HolderKind
+from copperyard.memory.process_memory import ProcessMemory
 from copperyard.message_formats import log_build
 from copperyard.metrics import Metrics
 from copperyard.peer_forwarding import PeerForwarder
@@ -60,6 +72,13 @@
 # Share of the descriptors for callers; the others are for connections to
 # backend servers and other entries.
 CALLER_DESCRIPTORS_SHARE: Final = 0.6
+# Connections whose request was refused stay open until callers have read it,
+# up to this multiple of the share.
+REFUSED_CONNECTIONS_FACTOR: Final = 1.1
+# Share of the descriptors above which a new connection is closed unserved.
+CONNECTIONS_MAX_SHARE: Final = 0.7
+# Share of the descriptors for connections to backend servers and other entries.
+SERVER_DESCRIPTORS_SHARE: Final = 0.3
 
 
 class EntryProcess:
@@ -78,7 +97,14 @@
         )
         self.board.entry_ips = frozenset((settings.ip,))
         self._random = Random()
-        self._pool = BackendPool(self.board.clock)
+        self._memory = ProcessMemory(
+            settings.memory_bytes, self.board.metrics, self.board.clock
+        )
+        self._pool = BackendPool(self.board.clock, memory=self._memory)
+        if self._memory.is_limited:
+            self._pool.connections_max = (
+                SERVER_DESCRIPTORS_SHARE * settings.max_descriptors
+            )
         self._store = PlatformStore(
             self._pool, settings.store_address, self.board.metrics
         )
@@ -110,7 +136,13 @@
             dispatcher = self._build_dispatcher(group)
             await self._listen(
                 group,
-                EntryApi(self.board, dispatcher, self._peers, self._replica),
+                EntryApi(
+                    self.board,
+                    dispatcher,
+                    self._peers,
+                    self._replica,
+                    self._memory,
+                ),
             )
             poller = self._start_controllers(group)
             log_build()
@@ -173,6 +205,13 @@
             group.start_soon(
                 run_controller, controller, name, self.board.metrics
             )
+        group.start_soon(
+            run_controller,
+            self._memory.run,
+            'memory',
+            self.board.metrics,
+            lambda: tuple(self._connections),
+        )
         return poller
 
     async def _listen(self, group: TaskGroup, api: EntryApi) -> None:
@@ -187,21 +226,27 @@
         for address, handler in handlers_by_address.items():
             callbacks = ListenerCallbacks(
                 handler,
-                (
-                    api.find_entry_limits
-                    if handler == api.serve_entry
-                    else api.find_limits
-                ),
+                api.find_limits,
                 self._is_leaving,
                 self.board.clock,
                 api.record_refusal,
                 self.board.metrics,
+                memory=self._memory,
             )
+            if handler == api.serve_entry:
+                callbacks = replace(
+                    callbacks,
+                    find_limits=api.find_entry_limits,
+                    build_refusal=api.build_entry_refusal,
+                    holder_kind=HolderKind.FORWARDED,
+                )
             host, port = split_address(address)
             listener = await anyio.create_tcp_listener(
                 local_host=host,
                 local_port=port,
             )
+            if self._memory.is_limited:
+                bound_waiting(listener)
             self._listeners.append(listener)
             group.start_soon(
                 accept_connections,
@@ -214,15 +259,28 @@
     async def _serve_connection(
         self, callbacks: ListenerCallbacks, stream: SocketStream
     ) -> None:
+        if self._has_too_many_connections():
+            # Accepted faster than others can be refused.
+            self.board.metrics.count('caller.closed_for_room')
+            await stream.aclose()
+            return
         connection = CallerConnection(stream, callbacks)
         self._connections.add(connection)
         self._limit_connections()
+        size = self._memory.find_receive_buffer(len(self._connections))
+        if size is not None:
+            bound_receiving(stream, size)
         try:
             await connection.run()
         finally:
             self._connections.discard(connection)
 
+    def _has_too_many_connections(self) -> bool:
+        limit = CONNECTIONS_MAX_SHARE * self.board.settings.max_descriptors
+        return self._memory.is_limited and len(self._connections) >= limit
+
     def _limit_connections(self) -> None:
+        """Close a connection if there are too many."""
         limit = CALLER_DESCRIPTORS_SHARE * self.board.settings.max_descriptors
         if len(self._connections) <= limit:
             return
@@ -230,6 +288,22 @@
             if connection.close_if_idle():
                 self.board.metrics.count('caller.closed_for_room')
                 return
+        if self._memory.is_limited:
+            self._refuse_connection(REFUSED_CONNECTIONS_FACTOR * limit)
+
+    def _refuse_connection(self, refused_max: float) -> None:
+        """Refuse the request that has made no progress for longest."""
+        if len(self._connections) > refused_max:
+            # Refused callers did not have time to read why.
+            for connection in self._connections:
+                if connection.is_refused:
+                    connection.abort()
+                    return
+        reading = [it for it in self._connections if it.is_reading_request]
+        if reading:
+            slowest = min(reading, key=CallerConnection.find_progress_at)
+            slowest.refuse_for_room()
+            self.board.metrics.count('caller.refused_for_room')
 
     def _is_leaving(self) -> bool:
         return self.board.is_leaving
@@ -303,6 +377,8 @@
     settings = loaded.unwrap()
     handler = BoundedLogHandler(sys.stdout.fileno())
     configure_logs('info', 'entry', settings.entry_id, handler)
+    if settings.memory_bytes is not None:
+        return_freed_memory()
     anyio.run(EntryProcess(settings, path).run)
 
 
--- a/copperyard/entry_api.py
+++ b/copperyard/entry_api.py
@@ -1,6 +1,7 @@
 """HTTP handlers for callers, the platform and other entries."""
 
 import re
+from collections.abc import Sequence
 from dataclasses import replace
 from typing import Final
 
@@ -15,12 +16,19 @@
 from copperyard.forwarded_serving import ForwardedRequestServer
 from copperyard.http_calls import build_request
 from copperyard.logs import log_event
+from copperyard.memory.process_memory import ProcessMemory
 from copperyard.metrics_text import (
     CONTENT_TYPE,
     add_labels,
     render_metrics,
 )
-from copperyard.outcomes import Answered, NotRun, RefusalReason, Unknown
+from copperyard.outcomes import (
+    Answered,
+    Header,
+    NotRun,
+    RefusalReason,
+    Unknown,
+)
 from copperyard.platform import (
     DEADLINE_MS,
     LOOKUP_PATH,
@@ -78,6 +86,7 @@
     :param dispatcher: sends requests to backend servers.
     :param peers: the other entries, for lookups.
     :param replica: state read from the store, for snapshots.
+    :param memory: account of the bytes that the process holds.
     """
 
     def __init__(
@@ -86,8 +95,10 @@
         dispatcher: Dispatcher,
         peers: EntryPeers,
         replica: StoreReplica,
+        memory: ProcessMemory | None = None,
     ) -> None:
         self._board = board
+        self._memory = memory or ProcessMemory(metrics=board.metrics)
         self._dispatcher = dispatcher
         self._peers = peers
         self._replica = replica
@@ -189,12 +200,23 @@
         headers, body = encode_body(received.headers, encode_message(snapshot))
         return CallerResponse(200, headers, body)
 
+    def build_entry_refusal(
+        self, outcome: NotRun, headers: Sequence[Header]
+    ) -> CallerResponse:
+        """Return the response to another entry's incomplete request.
+
+        :param outcome: why it is refused.
+        :param headers: headers of the request so far.
+        """
+        return self._forwarded_server.build_refusal(outcome, headers)
+
     async def serve_metrics(self, received: ReceivedRequest) -> CallerResponse:
         """Return counters, gauges and latency histograms as text.
 
         :param received: the request.
         """
         update_gauges(self._board, self._replica)
+        self._memory.update_gauges()
         alive = self._peers.list_alive(self._board.clock())
         update_format_gauges(self._board.metrics, alive)
         return CallerResponse(
--- a/copperyard/exchanges.py
+++ b/copperyard/exchanges.py
@@ -9,6 +9,7 @@
 import anyio
 from httptools import HttpParserError
 
+from copperyard.attempt_encoding import encode_attempt
 from copperyard.attempt_types import (
     Attempt,
     AttemptFailure,
@@ -22,8 +23,9 @@
     Connection,
     ConnectionPool,
 )
-from copperyard.http_codec import ResponseHead, ResponseParser, encode_request
+from copperyard.http_codec import ResponseHead, ResponseParser
 from copperyard.logs import log_event
+from copperyard.memory.process_memory import AnswerHold, ProcessMemory
 from copperyard.outcomes import Answered
 from copperyard.requests import compute_remaining_ms
 from copperyard.retry_after import find_retry_after, read_retry_after_s
@@ -31,6 +33,9 @@
 # Connecting takes about 1 ms. The kernel retransmits a lost SYN only after 1 s;
 # another server is tried well before that.
 CONNECT_TIMEOUT_S: Final = 0.25
+# The head and a body up to this size are sent as one; a larger one is not
+# copied.
+JOINED_BODY_MAX_BYTES: Final = 64 * 1024
 # Larger responses are streamed to the caller to bound memory use.
 BUFFER_LIMIT_BYTES: Final = 1024 * 1024
 # Interval at which the connection is checked for a response that arrives
@@ -138,6 +143,7 @@
         self._is_early_response = False
         self._is_finished = False
         self._parts: list[bytes] = []
+        self._hold: AnswerHold | None = None
         self._written_bytes = 0
         self._received_bytes = 0
         self._sent_at: float | None = None
@@ -199,6 +205,7 @@
         What was read of the body and not taken yet is dropped.
         """
         self._parts.clear()
+        self._hold = None
         if self._connection is not None:
             self._pool.close(self._connection)
             self._connection = None
@@ -246,15 +253,20 @@
             return self._build_failure(
                 FailureKind.EXPIRED, 'deadline before the send'
             )
-        encoded = _encode_attempt(self._attempt, self.server, remaining_ms)
+        encoded = encode_attempt(self._attempt, self.server, remaining_ms)
         if encoded is None:
             return self._build_failure(
                 FailureKind.INVALID, 'not valid as HTTP/1.1'
             )
         self._set_timeout(self._attempt.response_timeout_s, FailureKind.SILENT)
-        failure = self._write_first(connection, encoded)
-        if failure is None and self._written_bytes < len(encoded):
-            failure = await self._write_rest(connection, encoded)
+        parts = [encoded, self._attempt.body]
+        if len(self._attempt.body) <= JOINED_BODY_MAX_BYTES:
+            parts = [encoded + self._attempt.body]
+        failure = self._write_first(connection, parts[0])
+        parts[0] = parts[0][self._written_bytes :]
+        for part in parts:
+            if failure is None and part and not self._is_early_response:
+                failure = await self._write_rest(connection, part)
         return failure
 
     def _write_first(
@@ -281,9 +293,9 @@
     async def _write_rest(
         self,
         connection: Connection,
-        encoded: bytes,
+        part: bytes,
     ) -> AttemptFailure | None:
-        unsent = memoryview(encoded)[self._written_bytes :]
+        unsent = memoryview(part)
         while unsent:
             # A server may respond before it has read a long body.
             if connection.is_readable():
@@ -350,20 +362,25 @@
         head: ResponseHead,
     ) -> ForwardResult:
         received_before = self._received_bytes
+        size = head.length
         # The framing of chunks counts too, since parsing many small ones takes
         # longer than receiving them.
-        while (
-            max(self._received_bytes - received_before, head.length)
-            <= BUFFER_LIMIT_BYTES
-        ):
+        while size <= BUFFER_LIMIT_BYTES and self._may_hold(size):
             part = await self._next_part(connection)
             if isinstance(part, AttemptFailure):
                 return part
             if not part:
                 return self._build_answered(head)
             self._parts.append(part)
+            size = max(self._received_bytes - received_before, head.length)
         return StreamedResponse(head, self)
 
+    def _may_hold(self, size: int) -> bool:
+        """Return whether there is memory to buffer an answer."""
+        if self._hold is None and self._pool.memory.is_limited:
+            self._hold = AnswerHold(self._pool.memory)
+        return self._hold is None or self._hold.grow(size)
+
     async def _next_part(
         self,
         connection: Connection,
@@ -409,7 +426,9 @@
         if head.is_chunked or not head.is_self_delimiting:
             length = str(len(body)).encode('ascii')
             headers = (*headers, (_CONTENT_LENGTH, length))
-        return Answered(head.status, headers, body, self.server.server_id)
+        return Answered(
+            head.status, headers, body, self.server.server_id, self._hold
+        )
 
     def _set_timeout(
         self,
@@ -479,14 +498,16 @@
 
     :param clock: as for ``ConnectionPool``.
     :param on_reset: as for ``ConnectionPool``.
+    :param memory: as for ``ConnectionPool``.
     """
 
     def __init__(
         self,
         clock: Callable[[], float] = seconds_since_boot,
         on_reset: Callable[[str], None] | None = None,
+        memory: ProcessMemory | None = None,
     ) -> None:
-        super().__init__(clock, on_reset)
+        super().__init__(clock, on_reset, memory)
         # May contain responses that were closed since the last check.
         self._streamed_responses: list[StreamedResponse] = []
 
@@ -537,27 +558,3 @@
             if now >= stream.deadline:
                 log_event('response_expired', server=stream.server_id)
                 stream.close()
-
-
-def _encode_attempt(
-    attempt: Attempt,
-    server: ServerAddress,
-    remaining_ms: int,
-) -> bytes | None:
-    request = attempt.request
-    headers = [
-        *request.headers,
-        *attempt.dialect.write_headers(
-            request.request_id,
-            server.server_id,
-            remaining_ms,
-        ),
-    ]
-    if attempt.body or not request.is_bodyless:
-        headers.append((_CONTENT_LENGTH, b'%d' % len(attempt.body)))
-    return encode_request(
-        request.method,
-        request.target,
-        headers,
-        attempt.body,
-    )
--- a/copperyard/forwarded_serving.py
+++ b/copperyard/forwarded_serving.py
@@ -1,6 +1,7 @@
 """Serves requests that other entries forward to this one."""
 
 import re
+from collections.abc import Sequence
 from dataclasses import replace
 from typing import Final
 
@@ -22,7 +23,13 @@
 from copperyard.http_calls import build_request
 from copperyard.logs import log_event
 from copperyard.message_formats import UnknownKinds
-from copperyard.outcomes import Answered, NotRun, RefusalReason, Unknown
+from copperyard.outcomes import (
+    Answered,
+    Header,
+    NotRun,
+    RefusalReason,
+    Unknown,
+)
 from copperyard.request_reader import ReceivedRequest
 from copperyard.request_states import DispatchOutcome, RequestState
 from copperyard.requests import (
@@ -97,6 +104,19 @@
         outcome = await self._run(state, received.caller_ip)
         return _build_response(outcome, state.attempts, request_id)
 
+    def build_refusal(
+        self, outcome: NotRun, headers: Sequence[Header]
+    ) -> CallerResponse:
+        """Return the response to a request that is refused while it is read.
+
+        :param outcome: the refusal.
+        :param headers: headers of the request so far.
+        """
+        request_id = dict(headers).get(REQUEST_ID_HEADER, b'')
+        if FORWARDED_HEADER not in dict(headers) or not request_id:
+            return build_response(outcome)
+        return _build_response(outcome, 0, request_id)
+
     def _refuse_malformed(self, source_ip: str, *, is_newer: bool) -> NotRun:
         if is_newer:
             # The caller's request is valid, and another entry may read it.
--- a/copperyard/listeners.py
+++ b/copperyard/listeners.py
@@ -1,5 +1,6 @@
 """Listeners for the connections of callers."""
 
+import asyncio
 import errno
 import socket
 from collections.abc import Callable, Coroutine
@@ -15,6 +16,9 @@
 # Accepting fails while the process has no descriptor left; some connections
 # end within this time.
 ACCEPT_RETRY_S: Final = 0.1
+# Receive buffer of a connection that is not accepted yet: about what a client
+# sends before the first packet is acknowledged.
+WAITING_BUFFER_BYTES: Final = 16 * 1024
 # Connections that are accepted after a listener has been closed.
 WAITING_MAX: Final = 4096
 # Errors of accepting that say nothing of the connection.
@@ -60,6 +64,34 @@
         )
 
 
+def bound_waiting(listener: Listener[SocketStream]) -> None:
+    """Bound the bytes that the kernel receives on connections not accepted yet.
+
+    :param listener: the listener.
+    """
+    listener.extra(SocketAttribute.raw_socket).setsockopt(
+        socket.SOL_SOCKET, socket.SO_RCVBUF, WAITING_BUFFER_BYTES
+    )
+
+
+def bound_receiving(stream: SocketStream, size: int) -> None:
+    """Bound the bytes that are received and not yet processed.
+
+    A stream of anyio reads ahead from the start and stops only after it has
+    waited for bytes once. What arrives faster than it is processed, or while
+    nobody reads, would be held without limit.
+
+    :param stream: a connection that has just been accepted.
+    :param size: size of the receive buffer in the kernel.
+    """
+    stream.extra(SocketAttribute.raw_socket).setsockopt(
+        socket.SOL_SOCKET, socket.SO_RCVBUF, size
+    )
+    transport = getattr(stream, '_transport', None)
+    if isinstance(transport, asyncio.ReadTransport):
+        transport.pause_reading()
+
+
 async def _accept_waiting(
     listening: socket.socket,
     start: Callable[[socket.socket], object],
--- a/copperyard/outcomes.py
+++ b/copperyard/outcomes.py
@@ -1,7 +1,7 @@
 """Outcomes of a caller's request and their reasons."""
 
 import enum
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import TypeAlias, TypeVar
 
 
@@ -22,6 +22,10 @@
     ``LEAVING``: the proxy accepts no new requests.
     ``CLAIM_UNAVAILABLE``: the home of the request id, which is the member that
     permits its one run (see ``claims``), cannot do so now.
+    ``NO_MEMORY``: the entry had no memory for the request, or dropped one that
+    did not arrive any further while memory was short.
+    ``NO_CONNECTION``: the entry had too many connections, all of them busy, and
+    this request was the one that had made no progress for longest.
     ``INTERNAL_ERROR``: an unexpected exception in the entry before anything was
     sent.
     """
@@ -44,6 +48,8 @@
     CONNECT_FAILED = 'connect_failed'
     SERVER_REFUSED = 'server_refused'
     CLAIM_UNAVAILABLE = 'claim_unavailable'
+    NO_MEMORY = 'no_memory'
+    NO_CONNECTION = 'no_connection'
     INTERNAL_ERROR = 'internal_error'
 
 
@@ -132,12 +138,15 @@
     :param headers: raw header pairs, without hop-by-hop headers.
     :param body: the complete body.
     :param server_id: id of the backend server that responded.
+    :param hold: keeps the memory of the body reserved while it exists; ``None``
+        if memory is not limited.
     """
 
     status: int
     headers: tuple[Header, ...]
     body: bytes
     server_id: str
+    hold: object | None = field(default=None, compare=False, repr=False)
 
 
 @dataclass(frozen=True, slots=True)
--- a/copperyard/request_reader.py
+++ b/copperyard/request_reader.py
@@ -4,6 +4,7 @@
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
+from io import BytesIO
 from typing import Final
 
 from httptools import HttpParserError, HttpParserUpgrade, HttpRequestParser
@@ -11,6 +12,11 @@
 from copperyard.outcomes import Header, RefusalReason
 from copperyard.routes import RequestLimits
 
+# Typical size of a socket's receive buffer.
+READ_BUFFER_BYTES: Final = 64 * 1024
+# Memory of a header beyond its bytes: two objects of bytes and their pair.
+HEADER_COST_BYTES: Final = 160
+
 _CONNECT: Final = b'CONNECT'
 _HOST: Final = b'host'
 _ABSOLUTE_FORM_PATTERN: Final = re.compile(
@@ -34,6 +40,7 @@
     :param body: the complete body.
     :param caller_ip: IP address of the caller.
     :param is_dispatched: set before the request may be sent to a server.
+    :param held_bytes: memory of its head and body.
     """
 
     method: str
@@ -44,6 +51,7 @@
     body: bytes = b''
     caller_ip: str = ''
     is_dispatched: bool = False
+    held_bytes: int = 0
 
 
 class RequestReader:
@@ -69,7 +77,14 @@
         self._parser = HttpRequestParser(self)
         self._target: list[bytes] = []
         self._headers: list[Header] = []
-        self._parts: list[bytes] = []
+        # One object holds the whole body, since a list of parts costs more than
+        # the bytes of small chunks, and joining it needs a second copy.
+        self._body = BytesIO()
+        self._head_cost_bytes = 0
+        # Of complete requests that were not taken yet.
+        self._complete_bytes = 0
+        # Size of the body if it is announced.
+        self._announced_bytes = 0
         self._parsed_head_bytes = 0
         self._received_head_bytes = 0
         # Bytes received since the last part of the body, as far as known.
@@ -78,6 +93,42 @@
         self._complete_count = 0
         self._request: ReceivedRequest | None = None
 
+    @property
+    def headers(self) -> tuple[Header, ...]:
+        """Return the headers of the request that is being read."""
+        return tuple(self._headers)
+
+    @property
+    def held_bytes(self) -> int:
+        """Return the memory of all requests that were not taken yet."""
+        return self._complete_bytes + self._head_cost_bytes + self._body_bytes
+
+    @property
+    def wanted_bytes(self) -> int:
+        """Return the memory of these requests after the next bytes.
+
+        An announced body counts whole: one that has begun to arrive can then
+        be completed. Others grow with each read.
+        """
+        if not self.is_in_body:
+            return self.held_bytes
+        body_bytes = self._announced_bytes or min(
+            self._body_bytes + READ_BUFFER_BYTES, self.limits.body_bytes
+        )
+        return self._complete_bytes + self._head_cost_bytes + body_bytes
+
+    def take_complete(self) -> ReceivedRequest:
+        """Return the next complete request."""
+        request = self.complete_requests.popleft()
+        self._complete_bytes -= request.held_bytes
+        return request
+
+    def discard(self) -> None:
+        """Drop all requests that were not taken yet."""
+        self.complete_requests.clear()
+        self._complete_bytes = 0
+        self._clear_request()
+
     def feed(self, content: bytes) -> None:
         """Parse received bytes and record the first reason to refuse them."""
         count_before = self._complete_count
@@ -112,13 +163,10 @@
         self.is_in_head = True
         self.limits = self._find_limits()
         self.head_started_at = self._clock()
-        self._target = []
-        self._headers = []
-        self._parts = []
+        self._clear_request()
         self._parsed_head_bytes = 0
         self._received_head_bytes = 0
         self._trailer_bytes = 0
-        self._body_bytes = 0
 
     def on_url(self, part: bytes) -> None:
         self._target.append(part)
@@ -126,6 +174,7 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         self._headers.append((name.lower(), value.strip(b' \t')))
+        self._head_cost_bytes += HEADER_COST_BYTES
         self._count_head_bytes(len(name) + len(value) + 4)
 
     def on_headers_complete(self) -> None:
@@ -158,16 +207,28 @@
         self._body_bytes += len(part)
         if self._body_bytes > self.limits.body_bytes:
             self._record_refusal(RefusalReason.BODY_TOO_LARGE)
-        else:
-            self._parts.append(part)
+        elif self.refusal is None:
+            self._body.write(part)
 
     def on_message_complete(self) -> None:
         self.is_in_body = False
         self.wants_continue = False
         self._complete_count += 1
         if self._request is not None and self.refusal is None:
-            self._request.body = b''.join(self._parts)
+            # Does not copy the bytes.
+            self._request.body = self._body.getvalue()
+            self._request.held_bytes = self._head_cost_bytes + self._body_bytes
+            self._complete_bytes += self._request.held_bytes
             self.complete_requests.append(self._request)
+        self._clear_request()
+
+    def _clear_request(self) -> None:
+        self._target = []
+        self._headers = []
+        self._body = BytesIO()
+        self._body_bytes = 0
+        self._head_cost_bytes = 0
+        self._announced_bytes = 0
         self._request = None
 
     def _read_target(self) -> bytes:
@@ -206,11 +267,15 @@
 
     def _check_content_length(self) -> None:
         length = dict(self._headers).get(b'content-length', b'0')
-        if length.isdigit() and int(length) > self.limits.body_bytes:
+        if not length.isdigit():
+            return
+        self._announced_bytes = int(length)
+        if self._announced_bytes > self.limits.body_bytes:
             self._record_refusal(RefusalReason.BODY_TOO_LARGE)
 
     def _count_head_bytes(self, size: int) -> None:
         self._parsed_head_bytes += size
+        self._head_cost_bytes += size
         if self._parsed_head_bytes > self.limits.head_bytes:
             self._record_refusal(RefusalReason.HEAD_TOO_LARGE)
 
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -434,3 +434,23 @@
     async with _open_client() as client:
         client.address = replace(client.address, server_id='日本')
         assert _is_response_to(await client.send('r1'), 'r1')
+
+
+async def test_pool_bounds_connections_to_all_servers_together():
+    """Guards against requests in flight that use up all descriptors.
+
+    A server without a connection still gets one, so that the store is reached.
+    """
+    first, second = (
+        ServerAddress(f's{number}', f'127.0.0.1:{number}', 10)
+        for number in (1, 2)
+    )
+    with BackendPool() as pool:
+        pool.connections_max = 2
+        opened = [pool.add(first), pool.add(first)]
+        assert pool.add(first) is None
+        assert pool.add(second) is not None
+        assert pool.add(second) is None
+        pool.release(opened[0])
+        assert pool.add(second) is not None
+        assert pool.count_connections('s1') == 1
--- /dev/null
+++ b/tests/test_process_memory.py
@@ -0,0 +1,320 @@
+"""Memory of the process: waiting readers, refusals, drops and held answers."""
+
+import asyncio
+import gc
+from contextlib import asynccontextmanager
+
+import anyio
+import pytest
+
+from copperyard.attempt_types import Attempt, ServerAddress
+from copperyard.caller_connections import CallerConnection, ListenerCallbacks
+from copperyard.caller_responses import CallerResponse
+from copperyard.clock import seconds_since_boot
+from copperyard.exchanges import BackendPool, StreamedResponse
+from copperyard.forwarded_requests import (
+    ForwardedOutcome,
+    OutcomeKind,
+    decode_forwarded,
+)
+from copperyard.forwarded_serving import ForwardedRequestServer
+from copperyard.http_calls import PLAIN_DIALECT, build_request, permit_always
+from copperyard.memory.memory_account import (
+    BODY_PROGRESS_TIMEOUT_S,
+    LIMIT_MIN_BYTES,
+    Holder,
+    HolderKind,
+)
+from copperyard.memory.process_memory import (
+    BASE_INTERVAL_S,
+    EPISODE_END_S,
+    AnswerHold,
+    ProcessMemory,
+)
+from copperyard.metrics import Metrics
+from copperyard.outcomes import Answered, NotRun, RefusalReason
+from copperyard.requests import (
+    FORWARDED_HEADER,
+    OUTCOME_HEADER,
+    REQUEST_ID_HEADER,
+)
+from copperyard.routes import RequestLimits
+from tests.entry_builders import build_board
+from tests.standins.platform import Response, serve_http
+
+pytestmark = [pytest.mark.anyio, pytest.mark.timeout(30)]
+MIB = 1024 * 1024
+MEMORY_BYTES = 100 * MIB
+# With it, holders get the least limit.
+BASE_BYTES = MEMORY_BYTES
+LIMITS = RequestLimits(
+    head_bytes=1000,
+    body_bytes=2 * LIMIT_MIN_BYTES,
+    head_timeout_s=5,
+    idle_timeout_s=20,
+)
+
+
+class Process:
+    """A process with little memory and a clock of its own."""
+
+    def __init__(self):
+        self.skipped_s = 0.0
+        self.resident_bytes = BASE_BYTES
+        self.metrics = Metrics()
+        self.memory = ProcessMemory(
+            MEMORY_BYTES, self.metrics, self.clock, lambda: self.resident_bytes
+        )
+        self.connections = []
+        self.requests = []
+
+    def clock(self):
+        """Return the time, with what the test has skipped."""
+        return seconds_since_boot() + self.skipped_s
+
+    def check(self):
+        """Check once, as the process does periodically."""
+        self.memory.check(lambda: self.connections)
+
+    async def handle(self, request):
+        """Record a request and respond."""
+        self.requests.append(request)
+        await anyio.sleep(0.01)
+        return CallerResponse(200, (), b'%d' % len(request.body))
+
+    @asynccontextmanager
+    async def serve(self):
+        """Serve callers and yield the port."""
+        callbacks = ListenerCallbacks(
+            self.handle,
+            lambda: LIMITS,
+            bool,
+            self.clock,
+            lambda reason: None,
+            self.metrics,
+            memory=self.memory,
+        )
+
+        async def run(stream):
+            connection = CallerConnection(stream, callbacks)
+            self.connections.append(connection)
+            await connection.run()
+
+        listener = await anyio.create_tcp_listener(local_host='127.0.0.1')
+        async with listener, anyio.create_task_group() as group:
+            group.start_soon(listener.serve, run)
+            yield listener.extra(anyio.abc.SocketAttribute.local_port)
+            group.cancel_scope.cancel()
+
+
+def encode_post(size, *headers):
+    """Encode the head of a request with a body."""
+    length = b'Content-Length: %d' % size
+    lines = (b'POST / HTTP/1.1', b'Host: h', length, *headers)
+    return b'\r\n'.join((*lines, b'', b''))
+
+
+async def open_upload(port, size, sent):
+    """Send a part of a body and return reader and writer."""
+    reader, writer = await asyncio.open_connection('127.0.0.1', port)
+    writer.write(encode_post(size) + bytes(sent))
+    await asyncio.sleep(0.05)
+    return reader, writer
+
+
+async def test_body_waits_for_memory_and_is_served_after_another():
+    """Guards against refusals of bodies that fit one after another."""
+    process = Process()
+    size = LIMIT_MIN_BYTES // 2
+    async with process.serve() as port:
+        _, first = await open_upload(port, size, 1000)
+        reader, second = await open_upload(port, size, 1000)
+        assert process.memory.account.waiting_count == 1
+        first.write(bytes(size - 1000))
+        second.write(bytes(size - 1000))
+        answer = await reader.readuntil(b'%d' % size)
+        assert answer.startswith(b'HTTP/1.1 200')
+        first.close()
+        second.close()
+    assert process.memory.account.held_bytes == 0
+
+
+async def test_body_without_memory_is_refused_as_not_run():
+    """Guards against a refusal that does not say when to come back."""
+    process = Process()
+    size = LIMIT_MIN_BYTES // 2
+    async with process.serve() as port:
+        first = await open_upload(port, size, 1000)
+        reader, writer = await open_upload(port, size, 1000)
+        process.skipped_s = 1.5
+        process.check()
+        answer = await reader.read()
+        assert answer.startswith(b'HTTP/1.1 503')
+        assert b'retry-after: 1.000' in answer
+        assert answer.endswith(b'no_memory')
+        assert not process.requests
+        for open_writer in (first[1], writer):
+            open_writer.close()
+    assert process.memory.account.held_bytes == 0
+
+
+async def test_small_request_does_not_wait_behind_large_ones():
+    """Guards against large bodies that stop the requests of others."""
+    process = Process()
+    size = LIMIT_MIN_BYTES // 2
+    async with process.serve() as port:
+        # A writer that is not kept closes its connection.
+        uploads = [await open_upload(port, size, 1000) for _ in range(2)]
+        reader, writer = await open_upload(port, 100, 100)
+        assert await reader.readuntil(b'100')
+        assert process.memory.account.waiting_count == 1
+        for _, open_writer in (*uploads, (reader, writer)):
+            open_writer.close()
+
+
+async def test_body_larger_than_the_limit_is_refused_at_once():
+    """Guards against a wait for memory that there will never be."""
+    process = Process()
+    async with process.serve() as port:
+        reader, writer = await open_upload(port, LIMIT_MIN_BYTES + 1, 1000)
+        assert (await reader.read()).startswith(b'HTTP/1.1 503')
+        writer.close()
+
+
+async def test_stalled_body_is_dropped_only_when_memory_is_short():
+    """Guards against idle uploads that keep others out, and hasty drops."""
+    process = Process()
+    size = LIMIT_MIN_BYTES // 2
+    async with process.serve() as port:
+        stalled, stalled_writer = await open_upload(port, size, 1000)
+        process.skipped_s = BODY_PROGRESS_TIMEOUT_S
+        process.check()
+        assert len(process.connections) == 1
+        reader, writer = await open_upload(port, size, 1000)
+        process.check()
+        assert (await stalled.read()).endswith(b'no_memory')
+        writer.write(bytes(size - 1000))
+        assert await reader.readuntil(b'%d' % size)
+        stalled_writer.close()
+    assert process.metrics.counts_by_name['memory.dropped'] == 1
+
+
+async def test_chunks_of_one_byte_cost_no_more_than_their_bytes():
+    """Guards against memory for each chunk beyond what is accounted."""
+    process = Process()
+    async with process.serve() as port:
+        reader, writer = await asyncio.open_connection('127.0.0.1', port)
+        head = encode_post(0).replace(
+            b'Content-Length: 0', b'Transfer-Encoding: chunked'
+        )
+        writer.write(head + b'1\r\nx\r\n' * 50_000 + b'0\r\n\r\n')
+        assert await reader.readuntil(b'50000')
+        assert process.requests[0].body == b'x' * 50_000
+        assert process.requests[0].held_bytes < 60_000
+
+
+async def test_episode_has_one_line_at_its_begin_and_one_at_its_end(caplog):
+    """Guards against a log line for each refusal."""
+    process = Process()
+    with caplog.at_level('INFO'):
+        for _ in range(3):
+            process.memory.record_refusal()
+        process.check()
+        process.skipped_s = EPISODE_END_S
+        process.check()
+    events = [record.getMessage() for record in caplog.records]
+    assert events == ['memory_short', 'memory_available']
+    assert caplog.records[-1].fields['refusals'] == 3
+
+
+async def test_limit_follows_what_the_process_itself_needs():
+    """Guards against a limit that ignores a configuration that grows."""
+    process = Process()
+    assert process.memory.account.limit_bytes == LIMIT_MIN_BYTES
+    process.resident_bytes = 20 * MIB
+    process.skipped_s = BASE_INTERVAL_S
+    process.check()
+    assert process.memory.account.limit_bytes > 40 * MIB
+
+
+async def test_answers_are_held_for_as_long_as_they_exist():
+    """Guards against bytes that are never returned, and returned too early."""
+    process = Process()
+    hold = AnswerHold(process.memory)
+    assert hold.grow(MIB)
+    answer = Answered(200, (), b'x', 's1', hold)
+    del hold
+    gc.collect()
+    assert process.memory.account.held_bytes == MIB
+    assert answer.hold is not None
+    del answer
+    gc.collect()
+    assert process.memory.account.held_bytes == 0
+
+
+async def test_answer_without_memory_is_streamed():
+    """Guards against answers that are lost or exceed the limit."""
+    process = Process()
+
+    async def respond(request):
+        return Response(200, {}, bytes(MIB))
+
+    async with serve_http(respond) as address:
+        with BackendPool(memory=process.memory) as pool:
+            results = [await fetch(pool, address) for _ in range(6)]
+            streamed = [
+                it for it in results if isinstance(it, StreamedResponse)
+            ]
+            assert 0 < len(streamed) < len(results)
+            assert process.memory.account.held_bytes <= LIMIT_MIN_BYTES
+            for stream in streamed:
+                size = 0
+                while part := await stream.read_part():
+                    size += len(part)
+                assert size == MIB
+                stream.close()
+            results.clear()
+            streamed.clear()
+    del stream
+    gc.collect()
+    assert process.memory.account.held_bytes == 0
+
+
+async def fetch(pool, address):
+    """Send one request on a new connection."""
+    attempt = Attempt(
+        request=build_request('GET', b'/', ((b'host', b'h'),)),
+        body=b'',
+        deadline=seconds_since_boot() + 10,
+        response_timeout_s=10,
+        may_send=permit_always,
+        dialect=PLAIN_DIALECT,
+    )
+    return await pool.forward(ServerAddress('s1', address, 10), attempt)
+
+
+async def test_incomplete_forwarded_request_is_refused_as_not_run():
+    """Guards against a refusal that the other entry takes for unknown."""
+    server = ForwardedRequestServer(build_board(), None)
+    refusal = NotRun(RefusalReason.NO_MEMORY, 1.0)
+    headers = ((FORWARDED_HEADER, b'x'), (REQUEST_ID_HEADER, b'q1'))
+    response = server.build_refusal(refusal, headers)
+    found = dict(response.headers)
+    outcome = decode_forwarded(found[OUTCOME_HEADER], ForwardedOutcome)
+    assert outcome.kind is OutcomeKind.NOT_RUN
+    assert outcome.reason == RefusalReason.NO_MEMORY
+    assert found[REQUEST_ID_HEADER] == b'q1'
+    assert server.build_refusal(refusal, ()).status == 503
+
+
+async def test_cancelled_wait_leaves_nothing():
+    """Guards against a connection that closes while it waits for memory."""
+    process = Process()
+    held = Holder(HolderKind.REQUESTS)
+    assert process.memory.reserve_now(held, LIMIT_MIN_BYTES)
+    waiting = Holder(HolderKind.REQUESTS)
+    with anyio.move_on_after(0.02):
+        await process.memory.reserve(waiting, MIB)
+    assert not process.memory.account.waiting_count
+    process.memory.close(held)
+    assert process.memory.account.held_bytes == 0
