--- a/copperyard/caller_connections.py
+++ b/copperyard/caller_connections.py
@@ -6,16 +6,14 @@
 at which a connection closes, and pipelined requests that are still waiting.
 """
 
-import re
 from collections import deque
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Sequence
 from contextlib import ExitStack
 from dataclasses import dataclass, field
 from typing import Final
 
 import anyio
 from anyio.abc import SocketAttribute, SocketStream
-from httptools import HttpParserError, HttpParserUpgrade, HttpRequestParser
 
 from copperyard.attempt_types import AttemptFailure
 from copperyard.caller_responses import (
@@ -25,6 +23,12 @@
     uses_chunked_coding,
 )
 from copperyard.fault_barriers import FaultBarrier
+from copperyard.memory.connection_memory import (
+    WRITE_PART_BYTES,
+    ConnectionMemory,
+)
+from copperyard.memory.memory_account import HolderKind, Standing
+from copperyard.memory.process_memory import ProcessMemory
 from copperyard.metrics import Metrics
 from copperyard.outcomes import (
     Header,
@@ -33,10 +37,13 @@
     Unknown,
     UnknownReason,
 )
+from copperyard.request_reader import (
+    READ_BUFFER_BYTES,
+    ReceivedRequest,
+    RequestReader,
+)
 from copperyard.routes import RequestLimits
 
-# Typical size of a socket's receive buffer.
-READ_BUFFER_BYTES: Final = 64 * 1024
 # Reading from a connection pauses while this many of its requests are in
 # flight.
 PIPELINED_REQUESTS_MAX: Final = 16
@@ -48,15 +55,12 @@
 # How long a caller may take to close its side after the last response.
 LINGER_S: Final = 0.5
 LOGGED_TARGET_BYTES_MAX: Final = 256
+# Most bodies that hold memory are sent to a server within this time.
+OVERLOAD_RETRY_AFTER_S: Final = 1.0
 
-_CONNECT: Final = b'CONNECT'
-_HOST: Final = b'host'
-_ABSOLUTE_FORM_PATTERN: Final = re.compile(
-    rb'https?://(?P<host>[^/?@]+)(?=[/?]|$)', re.IGNORECASE
-)
 _CONTINUE_RESPONSE: Final = b'HTTP/1.1 100 Continue\r\n\r\n'
-_EXCEEDED_LIMITS: Final = frozenset(
-    (RefusalReason.BODY_TOO_LARGE, RefusalReason.HEAD_TOO_LARGE)
+_OVERLOADS: Final = frozenset(
+    (RefusalReason.NO_MEMORY, RefusalReason.NO_CONNECTION)
 )
 _DISCONNECT_ERRORS: Final = (
     anyio.EndOfStream,
@@ -66,31 +70,6 @@
 )
 
 
-@dataclass(slots=True)
-class ReceivedRequest:
-    """A request as received from a caller.
-
-    :param method: HTTP method.
-    :param target: raw path with query.
-    :param headers: all headers in the order received, names in lower case.
-    :param received_at: time at which the head was complete,
-        ``CLOCK_BOOTTIME`` in seconds.
-    :param is_keep_alive: whether the caller keeps the connection open.
-    :param body: the complete body.
-    :param caller_ip: IP address of the caller.
-    :param is_dispatched: set before the request may be sent to a server.
-    """
-
-    method: str
-    target: bytes
-    headers: tuple[Header, ...]
-    received_at: float
-    is_keep_alive: bool
-    body: bytes = b''
-    caller_ip: str = ''
-    is_dispatched: bool = False
-
-
 @dataclass(slots=True)
 class _PendingResponse:
     """The response to a request, which may not be available yet."""
@@ -105,182 +84,12 @@
         self.ready.set()
 
 
-class _RequestReader:
-    """Builds requests from the callbacks of the parser."""
-
-    def __init__(
-        self,
-        find_limits: Callable[[], RequestLimits],
-        clock: Callable[[], float],
-        caller_ip: str,
-    ) -> None:
-        self.is_in_head = False
-        self.is_in_body = False
-        self.head_started_at = 0.0
-        self.wants_continue = False
-        self.refusal: RefusalReason | None = None
-        self.complete_requests: deque[ReceivedRequest] = deque()
-        self._find_limits = find_limits
-        # In force when the newest request began.
-        self.limits = find_limits()
-        self._clock = clock
-        self._caller_ip = caller_ip
-        self._parser = HttpRequestParser(self)
-        self._target: list[bytes] = []
-        self._headers: list[Header] = []
-        self._parts: list[bytes] = []
-        self._parsed_head_bytes = 0
-        self._received_head_bytes = 0
-        # Bytes received since the last part of the body, as far as known.
-        self._trailer_bytes = 0
-        self._body_bytes = 0
-        self._complete_count = 0
-        self._request: ReceivedRequest | None = None
-
-    def feed(self, content: bytes) -> None:
-        """Parse received bytes and record the first reason to refuse them."""
-        count_before = self._complete_count
-        body_bytes_before = self._body_bytes
-        was_in_body = self.is_in_body
-        try:
-            self._parser.feed_data(content)
-        except HttpParserUpgrade:
-            # The request to upgrade is answered without upgrading, and its
-            # response closes the connection. Bytes behind it are ignored.
-            if self._request is not None:
-                self._record_refusal(RefusalReason.BAD_REQUEST)
-        except HttpParserError:
-            self._record_refusal(RefusalReason.BAD_REQUEST)
-        # The parser reports a header or trailer field only when it is complete.
-        # Counting the received bytes too limits one that never ends.
-        if count_before != self._complete_count:
-            return
-        if self.is_in_head:
-            self._received_head_bytes += len(content)
-        elif self._body_bytes != body_bytes_before:
-            self._trailer_bytes = 0
-        elif was_in_body:
-            self._trailer_bytes += len(content)
-        if (
-            max(self._received_head_bytes, self._trailer_bytes)
-            > self.limits.head_bytes
-        ):
-            self._record_refusal(RefusalReason.HEAD_TOO_LARGE)
-
-    def on_message_begin(self) -> None:
-        self.is_in_head = True
-        self.limits = self._find_limits()
-        self.head_started_at = self._clock()
-        self._target = []
-        self._headers = []
-        self._parts = []
-        self._parsed_head_bytes = 0
-        self._received_head_bytes = 0
-        self._trailer_bytes = 0
-        self._body_bytes = 0
-
-    def on_url(self, part: bytes) -> None:
-        self._target.append(part)
-        self._count_head_bytes(len(part))
-
-    def on_header(self, name: bytes, value: bytes) -> None:
-        self._headers.append((name.lower(), value.strip(b' \t')))
-        self._count_head_bytes(len(name) + len(value) + 4)
-
-    def on_headers_complete(self) -> None:
-        self.is_in_head = False
-        self.is_in_body = True
-        target = self._read_target()
-        names = [name for name, _ in self._headers]
-        method = self._parser.get_method()
-        if (
-            names.count(_HOST) != 1
-            or not self._is_supported(method, target)
-            or not self._has_known_coding()
-        ):
-            self._record_refusal(RefusalReason.BAD_REQUEST)
-        self._check_content_length()
-        self.wants_continue = (b'expect', b'100-continue') in self._headers
-        self._request = ReceivedRequest(
-            method=method.decode('latin-1'),
-            target=target,
-            headers=tuple(self._headers),
-            received_at=self._clock(),
-            caller_ip=self._caller_ip,
-            is_keep_alive=(
-                self._parser.should_keep_alive()
-                and not self._parser.should_upgrade()
-            ),
-        )
-
-    def on_body(self, part: bytes) -> None:
-        self._body_bytes += len(part)
-        if self._body_bytes > self.limits.body_bytes:
-            self._record_refusal(RefusalReason.BODY_TOO_LARGE)
-        else:
-            self._parts.append(part)
-
-    def on_message_complete(self) -> None:
-        self.is_in_body = False
-        self.wants_continue = False
-        self._complete_count += 1
-        if self._request is not None and self.refusal is None:
-            self._request.body = b''.join(self._parts)
-            self.complete_requests.append(self._request)
-        self._request = None
-
-    def _read_target(self) -> bytes:
-        """Return the target in origin form.
-
-        A target in absolute form replaces the ``Host`` header (RFC 9112,
-        3.2.2).
-        """
-        target = b''.join(self._target)
-        match = _ABSOLUTE_FORM_PATTERN.match(target)
-        if match is None:
-            return target
-        self._headers = [
-            (name, match['host'] if name == _HOST else value)
-            for name, value in self._headers
-        ]
-        path = target[match.end() :]
-        return path if path.startswith(b'/') else b'/%b' % path
-
-    def _is_supported(self, method: bytes, target: bytes) -> bool:
-        return (
-            target.startswith(b'/')
-            and method != _CONNECT
-            and self._parser.get_http_version() == '1.1'
-        )
-
-    def _has_known_coding(self) -> bool:
-        # The header is not forwarded, so only the coding that is decoded here
-        # leaves the body unchanged.
-        codings = [
-            value.lower()
-            for name, value in self._headers
-            if name == b'transfer-encoding'
-        ]
-        return codings in ([], [b'chunked'])
-
-    def _check_content_length(self) -> None:
-        length = dict(self._headers).get(b'content-length', b'0')
-        if length.isdigit() and int(length) > self.limits.body_bytes:
-            self._record_refusal(RefusalReason.BODY_TOO_LARGE)
-
-    def _count_head_bytes(self, size: int) -> None:
-        self._parsed_head_bytes += size
-        if self._parsed_head_bytes > self.limits.head_bytes:
-            self._record_refusal(RefusalReason.HEAD_TOO_LARGE)
-
-    def _record_refusal(self, fault: RefusalReason) -> None:
-        if fault in _EXCEEDED_LIMITS and not self.limits.are_known:
-            fault = RefusalReason.NOT_READY
-        if self.refusal is None:
-            self.refusal = fault
+Handler = Callable[[ReceivedRequest], Awaitable[CallerResponse]]
+RefusalBuilder = Callable[[NotRun, Sequence[Header]], CallerResponse]
 
 
-Handler = Callable[[ReceivedRequest], Awaitable[CallerResponse]]
+def _build_refusal(outcome: NotRun, _: Sequence[Header]) -> CallerResponse:
+    return build_response(outcome)
 
 
 @dataclass(frozen=True, slots=True)
@@ -295,6 +104,10 @@
     :param record_refusal: called with the reason if a request is refused while
         it is being read.
     :param metrics: counters of the process.
+    :param build_refusal: returns the response to a request that is refused
+        while it is being read, from its headers so far.
+    :param memory: account of the bytes that the process holds.
+    :param holder_kind: what the requests count as there.
     """
 
     handle: Handler
@@ -303,6 +116,9 @@
     clock: Callable[[], float]
     record_refusal: Callable[[RefusalReason], None]
     metrics: Metrics
+    build_refusal: RefusalBuilder = _build_refusal
+    memory: ProcessMemory = field(default_factory=ProcessMemory)
+    holder_kind: HolderKind = HolderKind.REQUESTS
 
 
 class CallerConnection:
@@ -317,9 +133,16 @@
     ) -> None:
         self._stream = stream
         self._callbacks = callbacks
-        self._reader = _RequestReader(
-            callbacks.find_limits, callbacks.clock, _find_caller_ip(stream)
+        caller_ip = _find_caller_ip(stream)
+        self._reader = RequestReader(
+            callbacks.find_limits, callbacks.clock, caller_ip
         )
+        self._memory = ConnectionMemory(
+            callbacks.memory, callbacks.holder_kind, caller_ip
+        )
+        self._scope = anyio.CancelScope()
+        # Whether it is about to be closed after a refusal.
+        self.is_refused = False
         self._pending_responses: deque[_PendingResponse] = deque()
         self._response_enqueued = anyio.Event()
         self._response_sent = anyio.Event()
@@ -359,14 +182,57 @@
                 self._refuse(RefusalReason.LEAVING)
             self._is_reading = False
 
+    def find_standing(self) -> Standing | None:
+        """Return what would be free if the connection were dropped."""
+        return self._memory.build_standing(
+            self._last_active_at, has_pending=bool(self._pending_responses)
+        )
+
+    def drop(self) -> None:
+        """Refuse an incomplete request, or drop answers that are not read."""
+        if self._pending_responses:
+            self._memory.record_refusal()
+            self._scope.cancel()
+        elif self._is_reading:
+            self._refuse(RefusalReason.NO_MEMORY)
+            self._is_reading = False
+
+    @property
+    def is_reading_request(self) -> bool:
+        """Return whether all it does is to read its first request."""
+        return (
+            self._is_reading
+            and not self._pending_responses
+            and (self._reader.is_in_head or self._reader.is_in_body)
+        )
+
+    def find_progress_at(self) -> float:
+        """Return when it last received a byte or sent one."""
+        return self._last_active_at
+
+    def refuse_for_room(self) -> None:
+        """Refuse the request that is being read, to close the connection."""
+        self._refuse(RefusalReason.NO_CONNECTION)
+        self._is_reading = False
+
+    def abort(self) -> None:
+        """Close the connection at once."""
+        self._scope.cancel()
+        self.is_refused = False
+
     async def run(self) -> None:
         """Serve the connection until either side closes it."""
         with ExitStack() as stack:
+            stack.callback(self._memory.close)
+            # The parser and its reader refer to each other, so what they hold
+            # would stay until a collection of cycles.
+            stack.callback(self._reader.discard)
             stack.callback(self._close_responses)
             stack.enter_context(
                 FaultBarrier(self._callbacks.metrics, 'connection')
             )
             async with self._stream, anyio.create_task_group() as group:
+                self._scope = group.cancel_scope
                 group.start_soon(self._write_responses, group.cancel_scope)
                 await self._read(group)
 
@@ -374,6 +240,7 @@
         for pending in self._pending_responses:
             if pending.response is not None and pending.response.stream:
                 pending.response.stream.close()
+        self._pending_responses.clear()
 
     async def _read(self, group: anyio.abc.TaskGroup) -> None:
         while self._is_reading:
@@ -382,6 +249,7 @@
                 group.cancel_scope.cancel()
                 return
             await self._process_bytes(content, group)
+            await self._reserve_memory()
             await self._send_continue()
         await self._wait_for_disconnect(group)
 
@@ -393,11 +261,24 @@
             reader.feed(content)
         else:
             reader.refusal = RefusalReason.TOO_SLOW
+        if not self._memory.take(reader.held_bytes):
+            reader.discard()
+            reader.refusal = RefusalReason.NO_MEMORY
         await self._start_requests(group)
         if reader.refusal is not None and self._is_reading:
             self._refuse(reader.refusal)
             self._is_reading = False
 
+    async def _reserve_memory(self) -> None:
+        """Wait until there is memory for the next bytes, or refuse them."""
+        is_reserved = not self._is_reading or await self._memory.prepare(
+            self._reader.wanted_bytes
+        )
+        # The end of a drain may have refused the request meanwhile.
+        if self._is_reading and not is_reserved:
+            self._refuse(RefusalReason.NO_MEMORY)
+            self._is_reading = False
+
     async def _send_continue(self) -> None:
         # The responses to earlier requests come first.
         if self._reader.wants_continue and not self._pending_responses:
@@ -461,11 +342,15 @@
 
     async def _start_requests(self, group: anyio.abc.TaskGroup) -> None:
         while self._reader.complete_requests and self._is_reading:
-            if len(self._pending_responses) >= PIPELINED_REQUESTS_MAX:
+            if (
+                len(self._pending_responses) >= PIPELINED_REQUESTS_MAX
+                or self._memory.is_clogged
+            ):
                 self._response_sent = anyio.Event()
                 await self._response_sent.wait()
                 continue
-            request = self._reader.complete_requests.popleft()
+            request = self._reader.take_complete()
+            self._memory.start(request.held_bytes)
             pending = _PendingResponse(
                 request.method == 'HEAD', request.is_keep_alive
             )
@@ -483,9 +368,16 @@
             target=request.target[:LOGGED_TARGET_BYTES_MAX].decode('latin-1'),
         ):
             response = await self._callbacks.handle(request)
-        pending.complete(
-            response or self._build_internal_error_response(request)
+        self._complete(
+            pending, response or self._build_internal_error_response(request)
         )
+        self._memory.finish(request.held_bytes)
+
+    def _complete(
+        self, pending: _PendingResponse, response: CallerResponse
+    ) -> None:
+        self._memory.unsent_bytes += len(response.body)
+        pending.complete(response)
 
     def _build_internal_error_response(
         self, request: ReceivedRequest
@@ -498,8 +390,20 @@
 
     def _refuse(self, fault: RefusalReason) -> None:
         pending = _PendingResponse(is_head=False, is_keep_alive=False)
-        pending.complete(build_response(NotRun(fault)))
+        refusal = NotRun(fault)
+        if fault in _OVERLOADS:
+            refusal = NotRun(fault, OVERLOAD_RETRY_AFTER_S)
+        if fault is RefusalReason.NO_MEMORY:
+            self._memory.record_refusal()
         self._callbacks.record_refusal(fault)
+        self._complete(
+            pending,
+            self._callbacks.build_refusal(refusal, self._reader.headers),
+        )
+        self._reader.discard()
+        self._memory.discard()
+        # Others may wait for earlier responses, which are not to be cut.
+        self.is_refused = not self._pending_responses
         self._enqueue(pending)
 
     def _enqueue(self, pending: _PendingResponse) -> None:
@@ -511,14 +415,9 @@
             if not self._pending_responses:
                 self._response_enqueued = anyio.Event()
                 await self._response_enqueued.wait()
-            pending = self._pending_responses[0]
-            await pending.ready.wait()
-            is_keep_alive = self._keeps_alive(pending)
-            if not await self._send_response(pending, is_keep_alive):
-                scope.cancel()
-                return
-            if not is_keep_alive:
-                await self._linger()
+            await self._pending_responses[0].ready.wait()
+            # A variable here would keep the body until the next response.
+            if not await self._write_response(self._pending_responses[0]):
                 scope.cancel()
                 return
             self._pending_responses.popleft()
@@ -526,6 +425,15 @@
             self._response_sent.set()
             await self._send_continue()
 
+    async def _write_response(self, pending: _PendingResponse) -> bool:
+        """Send a response and return whether the connection stays open."""
+        is_keep_alive = self._keeps_alive(pending)
+        if not await self._send_response(pending, is_keep_alive):
+            return False
+        if not is_keep_alive:
+            await self._linger()
+        return is_keep_alive
+
     async def _linger(self) -> None:
         """Let the caller close first.
 
@@ -565,12 +473,25 @@
             response, is_keep_alive=is_keep_alive, is_head=pending.is_head
         )
         body = b'' if pending.is_head else response.body
-        if not await self._send(head + body):
+        if not await self._send_whole(head, body):
             return False
+        self._memory.unsent_bytes -= len(response.body)
         if response.stream is not None and not pending.is_head:
             return await self._send_stream(response)
         return True
 
+    async def _send_whole(self, head: bytes, body: bytes) -> bool:
+        if len(body) <= WRITE_PART_BYTES:
+            return await self._send(head + body)
+        is_sent = await self._send(head)
+        for start in range(0, len(body), WRITE_PART_BYTES):
+            if not is_sent:
+                break
+            part = body[start : start + WRITE_PART_BYTES]
+            is_sent = await self._send(part)
+            self._last_active_at = self._callbacks.clock()
+        return is_sent
+
     async def _send_stream(self, response: CallerResponse) -> bool:
         stream = response.stream
         chunked = uses_chunked_coding(response)
--- a/copperyard/entry_api.py
+++ b/copperyard/entry_api.py
@@ -1,10 +1,10 @@
 """HTTP handlers for callers, the platform and other entries."""
 
+from collections.abc import Sequence
 from dataclasses import replace
 from typing import Final
 
 from copperyard.allowances.requests import AllowanceTaker
-from copperyard.caller_connections import ReceivedRequest
 from copperyard.caller_responses import CallerResponse, build_response
 from copperyard.clock import MILLISECONDS_PER_S
 from copperyard.dispatching import Dispatcher
@@ -15,12 +15,19 @@
 from copperyard.fault_barriers import FaultBarrier
 from copperyard.forwarded_serving import ForwardedRequestServer
 from copperyard.logs import log_event
+from copperyard.memory.process_memory import ProcessMemory
 from copperyard.metrics_text import (
     CONTENT_TYPE,
     add_labels,
     render_metrics,
 )
-from copperyard.outcomes import Answered, NotRun, RefusalReason, Unknown
+from copperyard.outcomes import (
+    Answered,
+    Header,
+    NotRun,
+    RefusalReason,
+    Unknown,
+)
 from copperyard.platform import (
     LOOKUP_PATH,
     READINESS_PATH,
@@ -29,6 +36,7 @@
     read_caller_domain,
 )
 from copperyard.request_admission import RequestAdmission
+from copperyard.request_reader import ReceivedRequest
 from copperyard.request_states import DispatchOutcome, RequestState
 from copperyard.requests import FORWARDED_HEADER
 from copperyard.routes import RequestLimits
@@ -70,6 +78,7 @@
     :param peers: the other entries, for lookups.
     :param replica: state read from the store, for snapshots.
     :param allowances: takes the allowances of tenants; ``None`` to limit none.
+    :param memory: account of the bytes that the process holds.
     :ivar keys: checks the API keys of requests.
     """
 
@@ -80,8 +89,10 @@
         peers: EntryPeers,
         replica: StoreReplica,
         allowances: AllowanceTaker | None = None,
+        memory: ProcessMemory | None = None,
     ) -> None:
         self._board = board
+        self._memory = memory or ProcessMemory(metrics=board.metrics)
         self._dispatcher = dispatcher
         self._peers = peers
         self._replica = replica
@@ -175,12 +186,23 @@
         headers, body = encode_body(received.headers, encode_message(snapshot))
         return CallerResponse(200, headers, body)
 
+    def build_entry_refusal(
+        self, outcome: NotRun, headers: Sequence[Header]
+    ) -> CallerResponse:
+        """Return the response to another entry's incomplete request.
+
+        :param outcome: why it is refused.
+        :param headers: headers of the request so far.
+        """
+        return self._forwarded_server.build_refusal(outcome, headers)
+
     async def serve_metrics(self, received: ReceivedRequest) -> CallerResponse:
         """Return counters, gauges and latency histograms as text.
 
         :param received: the request.
         """
         update_gauges(self._board, self._replica)
+        self._memory.update_gauges()
         alive = self._peers.list_alive(self._board.clock())
         update_format_gauges(self._board.metrics, alive)
         return CallerResponse(
--- a/copperyard/request_admission.py
+++ b/copperyard/request_admission.py
@@ -4,12 +4,12 @@
 from dataclasses import dataclass
 from typing import Final
 
-from copperyard.caller_connections import ReceivedRequest
 from copperyard.clock import MILLISECONDS_PER_S
 from copperyard.entry_board import EntryBoard
 from copperyard.http_calls import build_request
 from copperyard.outcomes import Header, NotRun, RefusalReason
 from copperyard.platform import DEADLINE_MS, REQUEST_ID
+from copperyard.request_reader import ReceivedRequest
 from copperyard.request_states import RequestState
 from copperyard.requests import HOP_BY_HOP_HEADERS
 from copperyard.routes import Route
--- a/tests/entry_processes.py
+++ b/tests/entry_processes.py
@@ -30,7 +30,7 @@
 readiness = "{ip}:{readiness}"
 registry = "{ip}:{lookup}"
 [limits]
-max-fds = 4100
+{limits}
 [bounds]
 grace-s = 3
 retry-budget-ratio = 0.2
@@ -45,12 +45,18 @@
 """
 
 
+LIMITS = 'max-fds = 4100'
+
+
 class Entry:
     """An entry process, and a client for its interfaces.
 
     :param seed: IP address of the entry to contact first.
     :param bounds: further lines of the settings' table of that name.
     :param code: folder with the code of another build; ``None`` for this one.
+    :param limits: lines of the section ``limits`` of its settings.
+    :param entry_port: port for other entries; those of other tests that run at
+        the same time do not find it on another one.
     """
 
     def __init__(
@@ -64,6 +70,8 @@
         bounds='',
         seed='127.0.0.21',
         code=None,
+        limits=LIMITS,
+        entry_port=ENTRY_PORT,
     ):
         self.ip = ip
         self.client = HttpClient()
@@ -75,7 +83,8 @@
                 store=store,
                 bounds=bounds,
                 seed=seed,
-                entries=ENTRY_PORT,
+                limits=limits,
+                entries=entry_port,
                 callers=CALLER_PORT,
                 readiness=READINESS_PORT,
                 lookup=LOOKUP_PORT,
--- a/tests/test_allowance_requests.py
+++ b/tests/test_allowance_requests.py
@@ -16,7 +16,6 @@
     AllowanceVerdict,
 )
 from copperyard.allowances.requests import AllowanceTaker, Ticket
-from copperyard.caller_connections import ReceivedRequest
 from copperyard.caller_responses import build_response, encode_response_head
 from copperyard.clock import seconds_since_boot
 from copperyard.dispatching import Dispatcher
@@ -39,6 +38,7 @@
     UnknownReason,
 )
 from copperyard.rendezvous import rank_members
+from copperyard.request_reader import ReceivedRequest
 from copperyard.routes import RouteTable
 from copperyard.store_replica import StoreReplica
 from copperyard.tenants.tenant_table import Tenant, TenantKeys, TenantTable
--- a/tests/test_api_keys.py
+++ b/tests/test_api_keys.py
@@ -11,7 +11,6 @@
 import pytest
 
 from copperyard.attempt_types import AttemptFailure, FailureKind
-from copperyard.caller_connections import ReceivedRequest
 from copperyard.clock import seconds_since_boot
 from copperyard.dispatching import Dispatcher
 from copperyard.entry_api import EntryApi
@@ -25,6 +24,7 @@
 )
 from copperyard.outcomes import Answered, NotRun, RefusalReason
 from copperyard.peer_forwarding import KEY_FORMATS, PeerForwarder
+from copperyard.request_reader import ReceivedRequest
 from copperyard.requests import FORWARDED_HEADER, OUTCOME_HEADER
 from copperyard.tenants.tenant_table import (
     Tenant,
--- a/tests/test_invalid_answers.py
+++ b/tests/test_invalid_answers.py
@@ -5,11 +5,11 @@
 import anyio
 import pytest
 
-from copperyard.caller_connections import ReceivedRequest
 from copperyard.clock import seconds_since_boot
 from copperyard.dispatching import Dispatcher
 from copperyard.entry_api import EntryApi
 from copperyard.exchanges import BackendPool
+from copperyard.request_reader import ReceivedRequest
 from tests.entry_builders import (
     build_board,
     build_report,
