Test datagrams after an error on a real socket

Cause: test_datagrams_are_received_after_an_error replaced the socket by an object without a descriptor and anyio's waiting by a stand-in; the socket is now registered with the event loop, which needs a descriptor.

Change: the test sends the same two datagrams over loopback and checks the same: the fault of the first is contained, and the second is applied.

--- a/tests/test_fault_barriers.py
+++ b/tests/test_fault_barriers.py
@@ -2,6 +2,7 @@
 
 import json
 import logging
+import socket
 from random import Random
 
 import anyio
@@ -58,26 +59,25 @@
     handle = peers._handle_heartbeat
     monkeypatch.setattr(peers, '_send', lambda ip, content: None)
 
-    def receive(_):
-        if not contents:
-            raise EOFError
-        return contents.pop(0)
-
     def fail(message):
         if isinstance(message, Goodbye):
             raise ValueError
         handle(message, 1.0)
 
-    async def wait(_):
-        await anyio.sleep(0)
-
     monkeypatch.setattr(peers, '_handle', fail)
-    monkeypatch.setattr(anyio, 'wait_readable', wait)
-    peers._socket.close()
-    peers._socket = type('Socket', (), {'recv': staticmethod(receive)})
-    with pytest.raises(EOFError):
-        await peers.receive()
-    assert '127.0.0.3' in board.entry_ips
+    with (
+        peers._socket,
+        socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sender,
+    ):
+        peers._socket.bind(('127.0.0.1', 0))
+        async with anyio.create_task_group() as group:
+            group.start_soon(peers.receive)
+            for content in contents:
+                sender.sendto(content, peers._socket.getsockname())
+            with anyio.fail_after(5):
+                while '127.0.0.3' not in board.entry_ips:
+                    await anyio.sleep(0.01)
+            group.cancel_scope.cancel()
     assert board.metrics.counts_by_name['fault.contained'] == 1
 
 
