--- a/copperyard/rollouts/judgement.py
+++ b/copperyard/rollouts/judgement.py
@@ -212,9 +212,11 @@
     """Return the probability of so many successes or more.
 
     :param trials: number of independent trials.
-    :param successes: number of successes, at most as many.
+    :param successes: number of successes.
     :param rate: probability of a success.
     """
+    if successes > trials:
+        return 0.0
     if rate >= 1:
         return 1.0
     odds = rate / (1 - rate)
--- a/tests/test_rollout_judgement.py
+++ b/tests/test_rollout_judgement.py
@@ -106,7 +106,14 @@
 
 @pytest.mark.parametrize(
     ('new', 'trusted'),
-    [((5, 0), False), ((13, 0), False), ((15, 0), True), ((15, 1), False)],
+    [
+        ((0, 0), False),
+        ((1, 1), False),
+        ((5, 0), False),
+        ((13, 0), False),
+        ((15, 0), True),
+        ((15, 1), False),
+    ],
 )
 def test_few_good_responses_are_not_trusted(new, trusted):
     """Guards against a bad version that is complete by luck."""
--- a/tests/test_rollout_model.py
+++ b/tests/test_rollout_model.py
@@ -320,6 +320,16 @@
     check_outcome(world, ROLLED_BACK)
 
 
+@pytest.mark.parametrize(
+    'options',
+    [{'rate': 0.0}, {'rate': 1.0, 'new': Behaviour(failures=1.0)}],
+    ids=['no requests', 'only failures'],
+)
+def test_version_without_a_good_response_is_rolled_back(options):
+    """Guards against a coordinator that fails for lack of responses."""
+    check_outcome(roll_out(**options), ROLLED_BACK)
+
+
 def test_roll_out_costs_four_store_calls():
     """Guards against calls, which have a price, that grow with the entries."""
     assert roll_out(entries=30).store.calls == 4
