--- a/copperyard/rollouts/version_gates.py
+++ b/copperyard/rollouts/version_gates.py
@@ -234,6 +234,10 @@
         progress = self.progress_by_service.get(service)
         target = None if progress is None else progress.order.target_version
         is_complete = progress is not None and progress.stage is Stage.COMPLETE
+        if is_complete and target not in starts:
+            # The operator has replaced the version without an order.
+            progress = target = None
+            is_complete = False
         earlier = self._find_earlier(
             service, starts, None if is_complete else target
         )
--- a/tests/test_rollout_gates.py
+++ b/tests/test_rollout_gates.py
@@ -168,6 +168,23 @@
     assert list_versions(board) == {'v2'}
 
 
+def test_complete_version_is_replaced_without_an_order():
+    """Guards against a service without servers as long as its order stays."""
+    board = build_versions('v2')
+    progress = order(board)
+    permit(board, progress, Stage.COMPLETE)
+    for number in range(2):
+        report = build_report(f'v3-{number}', version='v3', started_ms=9)
+        board.server_table.apply(report, board.clock())
+    assert list_versions(board) == {'v2'}
+    for number in range(2):
+        gone = ServerGone(f'v2-{number}', offset=9)
+        board.server_table.apply(gone, board.clock())
+    # Servers that are removed are gone at the next look.
+    list_versions(board)
+    assert list_versions(board) == {'v3'}
+
+
 def test_withdrawn_order_allows_nothing():
     """Guards against requests after the operator has withdrawn the order."""
     board = build_versions('v1', 'v2')
