--- a/copperyard/allowances/requests.py
+++ b/copperyard/allowances/requests.py
@@ -103,6 +103,8 @@
             self._state.outcome = None
             # The server was picked, but not asked.
             self._state.tried_server_ids.clear()
+            # A cancelled loop has not counted itself out.
+            self._state.running_loops = 0
 
 
 class AllowanceTaker:
--- a/tests/test_allowance_requests.py
+++ b/tests/test_allowance_requests.py
@@ -354,6 +354,41 @@
     assert network.count(OTHER, 'allowance.expired') == 1
 
 
+async def test_cancelled_hedge_does_not_delay_the_next_run():
+    """Guards against a refusal that waits until the hedge would begin.
+
+    The grant expires while both loops of the first run wait for a server.
+    """
+    network = Network()
+    board = network.boards_by_ip[OTHER]
+    picks = []
+
+    class Picker(FixedPicker):
+        async def pick(self, service, excluded_ids, options):
+            picks.append(options)
+            if len(picks) > 2:
+                return NotRun(RefusalReason.NO_CAPACITY)
+            if options.is_hedge:
+                await anyio.sleep_forever()
+            while len(picks) < 2:
+                await anyio.sleep(0.01)
+            network.wait(1.1)
+            return await super().pick(service, excluded_ids, options)
+
+    state = build_state(network, deadline=network.clock() + 9)
+    state.route = replace(
+        state.route, is_idempotent=True, max_attempts=3, target_latency_s=0.1
+    )
+    state.request = replace(state.request, is_idempotent=True)
+    with BackendPool(board.clock) as pool:
+        dispatcher = Dispatcher(board, pool, Picker(board))
+        taker = network.takers_by_ip[OTHER]
+        outcome = await taker.run_request(state, dispatcher.run)
+    assert outcome.reason is RefusalReason.NO_CAPACITY
+    # The refusal of the second run starts no hedge.
+    assert [options.is_hedge for options in picks] == [False, True, False]
+
+
 async def test_retry_needs_no_second_grant():
     """A request that was sent in time is counted, however long it takes."""
     network = Network()
