Keep one position and status of a roll-out's order

Entries that had read an order before the store returned from a copy kept its position of the earlier era. Entries started later ignored their messages, and wrote `running` over a final status. A verdict that waited for the store was written for an order that had been withdrawn or replaced meanwhile.

--- a/copperyard/operator_record_set.py
+++ b/copperyard/operator_record_set.py
@@ -261,6 +261,10 @@
         told = listing.told_by_name.get(name)
         if listed and own and not told and is_same(listed, own):
             self._take(listed)
+            known = self._decode(listed)
+            if listed.era != own.era and isinstance(known, RolloutChange):
+                # Messages and statuses name an order by its position.
+                yield listed, known
             return
         change = self._decode_first(listed, told, own)
         match change:
--- a/copperyard/rollouts/controller.py
+++ b/copperyard/rollouts/controller.py
@@ -131,7 +131,10 @@
     async def write_statuses(self) -> bool:
         """Bring the store's statuses up to date; return whether it answers."""
         for service, coordination in tuple(self.coordinations.items()):
-            if not self._needs_store(coordination):
+            if not (
+                self._is_current(service, coordination)
+                and self._needs_store(coordination)
+            ):
                 continue
             failure = await self._synchronize(service, coordination)
             now = self._board.clock()
@@ -323,6 +326,10 @@
             self._is_excluded(own_ip, self._board.clock()),
         )
 
+    def _is_current(self, service: str, coordination: Coordination) -> bool:
+        progress_by_service = self._board.rollouts.progress_by_service
+        return progress_by_service.get(service) is coordination.progress
+
     def _needs_store(self, coordination: Coordination) -> bool:
         progress = coordination.progress
         if progress.is_final:
@@ -355,6 +362,9 @@
             return str(listing)
         if listing.era < self._find_era():
             return f'era {listing.era} is outdated'
+        if not self._is_current(service, coordination):
+            # The order was replaced or withdrawn meanwhile.
+            return ''
         progress = coordination.progress
         self._synchronized_at[service] = self._board.clock()
         status = listing.statuses_by_service.get(service)
--- a/tests/test_rollout_hooks.py
+++ b/tests/test_rollout_hooks.py
@@ -22,6 +22,7 @@
 from copperyard.picking import PickOptions, ServerPicker
 from copperyard.platform.store import PlatformStore
 from copperyard.rollouts.controller import RolloutController
+from copperyard.rollouts.coordination import Reason, Verdict
 from copperyard.rollouts.judgement import CountKey
 from copperyard.rollouts.messages import (
     RolloutCounts,
@@ -45,7 +46,7 @@
     build_report,
     build_request_state,
 )
-from tests.rollout_model import MODEL_BOUNDS
+from tests.rollout_model import MODEL_BOUNDS, ModelStore
 from tests.standins.platform import run_platform
 
 pytestmark = [pytest.mark.anyio, pytest.mark.timeout(20)]
@@ -338,6 +339,53 @@
     assert progress.position == OrderPosition(2, 2)
 
 
+def test_order_has_one_position_after_a_return_of_the_store():
+    """Guards against entries that do not take an order for the same one.
+
+    An entry that starts after the return reads the order in the new era.
+    """
+    store = PlatformStore(BackendPool(), '127.0.0.1:1', Metrics())
+    board = build_board('s1', bounds=MODEL_BOUNDS)
+    replica = StoreReplica(board, store.decode_operator_record)
+    value = json.dumps(RECORD).encode()
+    for era in (1, 2):
+        record = OperatorRecord('rollout/ledger', value, 3, era)
+        replica.apply_operator_batch(
+            OperatorBatch(end=4, records=(record,), era=era, is_full=True), 0.0
+        )
+    progress = board.rollouts.progress_by_service['ledger']
+    assert progress.position == OrderPosition(2, 3)
+
+
+@pytest.mark.parametrize('is_late', [False, True])
+async def test_withdrawn_order_gets_no_status(is_late):
+    """Guards against an outcome after the operator has withdrawn the order.
+
+    The operator would stop the old servers.
+    """
+    board, progress = build_running()
+    replica = StoreReplica(board, lambda record: None)
+    peers = EntryPeers(board, replica, Random(1))
+    model = ModelStore()
+    store = model.client('127.0.0.1')
+    controller = RolloutController(board, replica, peers, store)
+    controller.tick(board.clock())
+    coordination = controller.coordinations['ledger']
+    coordination.verdict = Verdict(RolloutState.COMPLETE, Reason.GOOD)
+    if is_late:
+        read = store.read_rollout_statuses
+
+        async def withdraw_and_read():
+            board.rollouts.withdraw_order('ledger')
+            return await read()
+
+        store.read_rollout_statuses = withdraw_and_read
+    else:
+        board.rollouts.withdraw_order('ledger')
+    assert await controller.write_statuses()
+    assert not model.records
+
+
 def test_message_about_an_earlier_order_changes_nothing():
     """Guards against a late verdict on an order that was replaced."""
     board, progress = build_running()
