Let allowances work half a second after the start of all entries

Cause: after a loss of power of all entries, requests of limited tenants were refused for 2 to 3 s: an entry counted the others only after 1.5 s, its buckets began with the fraction of a lone entry, and refusals named 1 s.

Change: entries tell in heartbeats that they have just started. Where all that are heard directly have, nothing is waited for: no other one can have granted anything. A home that answers late is waited for 0.15 s, and refusals name 0.3 s. The other entries are tracked also before the first configuration with tenants. The loopback test waits until the home decides, since deputies grant earlier now.

--- a/copperyard/allowances/asking.py
+++ b/copperyard/allowances/asking.py
@@ -31,7 +31,7 @@
 ANSWER_WAIT_S: Final = 0.02
 ASKS_OF_HOME: Final = 2
 # How long the answers of the deputy and a slow home are waited for.
-DEPUTY_WAIT_S: Final = 0.06
+DEPUTY_WAIT_S: Final = 0.15
 # A home that has not answered is asked together with its deputy for this time.
 SILENT_S: Final = 0.3
 # Referrals of one request that are followed.
--- a/copperyard/allowances/decisions.py
+++ b/copperyard/allowances/decisions.py
@@ -12,8 +12,6 @@
 from copperyard.allowances.known_entries import KnownEntries, Ranking
 from copperyard.allowances.limits import LIFETIME_MAX_S, TenantLimit
 
-# An entry that has just started has not heard of all others.
-STARTUP_S: Final = 1.0
 # Others may take an entry for down that has not run for this time, and have
 # another home. They notice a silence 0.8 s after a freeze at the earliest.
 PAUSE_MIN_S: Final = 0.7
@@ -190,7 +188,7 @@
         self, limit: TenantLimit, ranking: Ranking, now: float
     ) -> Decision:
         known = self._known
-        if now - known.started_at < STARTUP_S:
+        if now < known.decides_from:
             return Undecided()
         bucket = self._settle(limit, ranking, now)
         if bucket.tokens >= 1 - _ROUNDING:
@@ -248,7 +246,13 @@
         with tokens only once in a window.
         """
         since = ranking.since
-        fraction = self._known.list_fractions(since, since)[0][1]
+        known = self._known
+        # At the start of all entries, none had been heard from before.
+        fraction = (
+            known.fraction
+            if known.is_system_start
+            else known.list_fractions(since, since)[0][1]
+        )
         tokens = limit.start_tokens * fraction
         restarted_at = since
         if previous and since - previous.restarted_at < limit.window_s:
--- a/copperyard/allowances/known_entries.py
+++ b/copperyard/allowances/known_entries.py
@@ -26,6 +26,14 @@
 # Changes of the fraction that are kept.
 CHANGES_KEPT: Final = 256
 
+# The same while all entries that are heard from have just started: no other
+# one can have granted anything meanwhile.
+SYSTEM_START_SETTLING_S: Final = 0.0
+# An entry that has just started has not heard of all others; where all of them
+# have just started, none of them knows more by waiting longer.
+STARTUP_S: Final = 1.0
+SYSTEM_STARTUP_S: Final = 0.5
+
 _NO_IPS: Final[frozenset[str]] = frozenset()
 
 
@@ -39,12 +47,15 @@
     :param silent_ips: entries that are no longer heard from and have not said
         that they leave.
     :param domains_by_ip: failure domains of those that serve callers.
+    :param is_system_start: whether all entries that have been heard from, and
+        this one, have just started.
     """
 
     ready_ips: frozenset[str]
     heard_ips: frozenset[str]
     silent_ips: frozenset[str] = _NO_IPS
     domains_by_ip: Mapping[str, str] = field(default_factory=dict)
+    is_system_start: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -72,6 +83,7 @@
     def __init__(self, own_ip: str, started_at: float) -> None:
         self.own_ip = own_ip
         self.started_at = started_at
+        self.is_system_start = False
         # When this entry last became a candidate, or ran again after a pause.
         self._serves_since = started_at
         # The entries among which homes are chosen, and since when each entry
@@ -99,6 +111,16 @@
         """Return the share of the known entries that are heard from."""
         return self._fractions[-1]
 
+    @property
+    def decides_from(self) -> float:
+        """Return from when this entry may decide as a home, in seconds."""
+        startup_s = SYSTEM_STARTUP_S if self.is_system_start else STARTUP_S
+        return self.started_at + startup_s
+
+    @property
+    def _settling_s(self) -> float:
+        return SYSTEM_START_SETTLING_S if self.is_system_start else SETTLING_S
+
     def update(
         self,
         sets: EntrySets,
@@ -112,6 +134,7 @@
         :param seed_ips: entries that the settings name.
         :returns: whether homes may have changed.
         """
+        self.is_system_start = sets.is_system_start
         self._update_silent(sets, now)
         self._domains_by_ip = sets.domains_by_ip
         self._heard_at_by_ip = _keep_first(
@@ -124,7 +147,7 @@
         self._ready_at_by_ip = _keep_first(
             self._ready_at_by_ip, sets.ready_ips, now
         )
-        settled = _keep_older(self._ready_at_by_ip, now - SETTLING_S)
+        settled = _keep_older(self._ready_at_by_ip, now - self._settling_s)
         return self._replace_candidates(settled or sets.ready_ips, now)
 
     def record_told(self, count: int, now: float) -> None:
@@ -216,7 +239,7 @@
         if is_starting and unheard_count and not heard_at:
             self._heard_count = 0
         else:
-            settled = _keep_older(heard_at, now - SETTLING_S)
+            settled = _keep_older(heard_at, now - self._settling_s)
             self._heard_count = 1 + len(settled)
         self._update_fraction(now)
 
--- a/copperyard/allowances/requests.py
+++ b/copperyard/allowances/requests.py
@@ -29,7 +29,7 @@
 from copperyard.clock import MILLISECONDS_PER_S
 from copperyard.entry_board import EntryBoard
 from copperyard.entry_messages import EntryStatus
-from copperyard.entry_peers import EntryPeers
+from copperyard.entry_peers import STARTING_S, EntryPeers
 from copperyard.logs import log_event
 from copperyard.outcomes import NotRun, RefusalReason
 from copperyard.request_states import DispatchOutcome, RequestState
@@ -38,8 +38,9 @@
 
 # Interval at which the other entries are looked at.
 CHECK_INTERVAL_S: Final = 0.1
-# The loss of a home is noticed, and another one is there, within this time.
-UNKNOWN_RETRY_AFTER_S: Final = 1.0
+# A slow home answers within this time, and so does one that has just started;
+# the loss of a home is noticed after up to 1.4 s.
+UNKNOWN_RETRY_AFTER_S: Final = 0.3
 # Times that a request takes an allowance: it takes another one if it has waited
 # for a server until its grant expired.
 TAKES_MAX: Final = 3
@@ -208,9 +209,7 @@
         board = self._board
         routes = board.routes
         was_paused = self._decider.notice_run(now)
-        if board.settings.bounds.quota is None or (
-            routes is not None and routes.tenants.is_empty
-        ):
+        if board.settings.bounds.quota is None:
             return
         if was_paused:
             board.metrics.count('allowance.paused')
@@ -292,6 +291,10 @@
             heard_ips,
             frozenset(silent_ips),
             domains_by_ip,
+            is_system_start=(
+                not self._peers.has_heard_running
+                and now - self._known.started_at < STARTING_S
+            ),
         )
 
     def _handle_ask(self, ask: AllowanceAsk, now: float) -> None:
--- a/copperyard/entry_gossip.py
+++ b/copperyard/entry_gossip.py
@@ -436,6 +436,7 @@
         servers_end=-1,
         servers_era=0,
         kept_digest=0,
+        starting=0,
     )
 
 
--- a/copperyard/entry_messages.py
+++ b/copperyard/entry_messages.py
@@ -164,6 +164,7 @@
         although the store has lost them; 0 if there are none.
     :param formats: version of the sender's message formats; 0 if its build does
         not tell it.
+    :param starting: 1 for some seconds after the sender's start.
     """
 
     ip: str
@@ -196,6 +197,7 @@
     servers_era: Era = 0
     kept_digest: Number = 0
     formats: _Formats = 0
+    starting: Annotated[int, msgspec.Meta(ge=0, le=1)] = 0
 
 
 class EntryNews(msgspec.Struct, frozen=True, array_like=True, tag='entries'):
--- a/copperyard/entry_peers.py
+++ b/copperyard/entry_peers.py
@@ -58,6 +58,9 @@
 
 # Datagrams that are handled before other tasks run.
 RECEIVED_PER_TURN_MAX: Final = 16
+# Time after its start for which an entry tells that it is starting; entries
+# that start together have heard of each other by then.
+STARTING_S: Final = 3.0
 # Comparisons with other entries that are not repeated.
 COMPARISONS_KEPT: Final = 64
 
@@ -114,6 +117,8 @@
         # Whether another entry has told addresses of others. One of an older
         # build does not if it knows an earlier process at this address.
         self.is_told_addresses = False
+        # Whether an entry has sent a heartbeat that started some seconds ago.
+        self.has_heard_running = False
         # Entry that has told a higher end of the servers' log than is known.
         self.newer_servers_ip = ''
         self._gossip = EntryGossip(
@@ -138,6 +143,7 @@
         self._board = board
         self._replica = replica
         self._random = random
+        self._started_at = board.clock()
         self._contacted_seed_ips: tuple[str, ...] = ()
         self._heartbeat_count = 0
         self._full_heartbeats_left = 0
@@ -271,6 +277,7 @@
             servers_era=self._replica.servers_era,
             kept_digest=self._replica.kept_digest,
             formats=FORMATS_VERSION,
+            starting=int(now - self._started_at < STARTING_S),
         )
 
     async def receive(self) -> None:
@@ -458,6 +465,7 @@
             log_event('entry_heard', entry=heartbeat.ip)
             self._update_entry_ips()
         self.is_told_addresses |= bool(heartbeat.known_ips)
+        self.has_heard_running |= not heartbeat.starting
         self.contact(heartbeat.known_ips)
         self._compare_positions(heartbeat, now, arrived_at)
         if self.facts.apply(heartbeat, now) and self._has_unwatching_peers():
--- a/tests/test_allowance_decisions.py
+++ b/tests/test_allowance_decisions.py
@@ -279,3 +279,37 @@
     decider.keep_only(frozenset())
     # A tenant that returns has a bucket as if it had not sent anything.
     assert take_all(decider, 120.5)[0] == 7
+
+
+def start_home(*, is_system_start):
+    """Start a home that hears the others 0.3 s after its start."""
+    known = KnownEntries(HOME, 100.0)
+    decider = AllowanceDecider(known)
+    known.update(EntrySets(frozenset({HOME}), frozenset()), 100.0)
+    for tenths in range(3, 30):
+        sets = EntrySets(IPS, IPS - {HOME}, is_system_start=is_system_start)
+        known.update(sets, 100 + tenths / 10)
+        decider.notice_run(100 + tenths / 10)
+        yield decider, 100 + tenths / 10
+
+
+def find_first_grant(*, is_system_start):
+    """Return how long after its start a home grants the first request."""
+    for decider, now in start_home(is_system_start=is_system_start):
+        decision = decider.decide(LIMIT, (OTHER, round(now * 10)), now)
+        if isinstance(decision, Granted):
+            return now - 100
+    return None
+
+
+def test_start_of_all_entries_refuses_tenants_for_half_a_second():
+    """Guards against 503 for seconds after all entries have lost power.
+
+    Nobody can have granted anything meanwhile, so nothing is waited for.
+    """
+    assert find_first_grant(is_system_start=True) == pytest.approx(0.5)
+
+
+def test_restarted_home_waits_until_it_has_heard_the_others():
+    """Guards against an entry that decides without the entries that run."""
+    assert find_first_grant(is_system_start=False) >= 1
--- a/tests/test_allowance_requests.py
+++ b/tests/test_allowance_requests.py
@@ -8,7 +8,8 @@
 import anyio
 import pytest
 
-from copperyard.allowances.decisions import PAUSE_MIN_S, STARTUP_S
+from copperyard.allowances.decisions import PAUSE_MIN_S
+from copperyard.allowances.known_entries import STARTUP_S
 from copperyard.allowances.messages import (
     AllowanceAsk,
     AllowanceReferral,
@@ -100,6 +101,7 @@
         )
         board.routes = replace_tenants(build_route_table())
         peers = SimpleNamespace(
+            has_heard_running=True,
             handlers_by_type={},
             send_message=lambda to, message: self.deliver(ip, to, message),
             list_alive=lambda now: [
@@ -509,6 +511,8 @@
             for controller in (peers.receive, peers.run_heartbeats, taker.run):
                 group.start_soon(controller)
             peers.contact(ips)
+        # Deputies grant before the home decides.
+        await anyio.sleep(STARTUP_S)
         tickets = 0
         with anyio.move_on_after(10):
             # The entries hear each other for some time before they decide.
@@ -541,7 +545,10 @@
     # Its grants expire after 0.13 s.
     tenant = Tenant('fast', None, 1000.0, 0.0)
     peers = SimpleNamespace(
-        handlers_by_type={}, list_alive=lambda now: [], peers_by_ip={}
+        has_heard_running=True,
+        handlers_by_type={},
+        list_alive=lambda now: [],
+        peers_by_ip={},
     )
     taker = AllowanceTaker(board, peers, Random(1))
     waits = [0.2, 0.0]
