Find an idle connection to close at the bound of all connections

The pool keeps an empty list of idle connections to a server while its only connection is in use. At the bound, taking the first of such a list raised an IndexError, and the request failed with internal_error.

--- a/copperyard/connections.py
+++ b/copperyard/connections.py
@@ -277,9 +277,11 @@
                 return None
             self.close(idle[0])
         elif connections and self._connection_count >= self.connections_max:
-            if not self._idle_by_server:
+            # The list of a server is empty while its connections are in use.
+            idle = next(filter(None, self._idle_by_server.values()), None)
+            if not idle:
                 return None
-            self.close(next(iter(self._idle_by_server.values()))[0])
+            self.close(idle[0])
         connection = Connection(server, self.clock())
         self._connection_count += 1
         size = self.memory.find_receive_buffer(self._connection_count)
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import random
+import socket
 from contextlib import asynccontextmanager
 from dataclasses import replace
 from types import SimpleNamespace
@@ -455,3 +456,28 @@
         pool.release(opened[0])
         assert pool.add(second) is not None
         assert pool.count_connections('s1') == 1
+
+
+async def test_connection_that_is_used_again_is_not_closed_for_room():
+    """Guards against a fault at the bound of all connections together.
+
+    The pool keeps an empty list of idle connections to a server while the only
+    one is in use.
+    """
+    with socket.create_server(('127.0.0.1', 0)) as listener:
+        port = listener.getsockname()[1]
+        first, second = (
+            ServerAddress(f's{number}', f'127.0.0.1:{port}', 10)
+            for number in (1, 2)
+        )
+        with BackendPool() as pool:
+            pool.connections_max = 2
+            used, idle = pool.add(first), pool.add(second)
+            assert not await used.open()
+            pool.release(used)
+            assert pool.take_idle(first, IDLE_MAX_S) is used
+            assert pool.add(first) is None
+            pool.release(idle)
+            assert pool.add(first) is not None
+            assert pool.count_connections('s1') == 2
+            assert not pool.count_connections('s2')
