Keep servers whose health check was answered while memory is short

An answer for which there is no memory is streamed, however short it is, and a streamed answer to a health check counted as a failure. Unread answers of callers that filled the account made the entry back off from every server.

--- a/copperyard/load_probing.py
+++ b/copperyard/load_probing.py
@@ -154,7 +154,7 @@
                 sent_at = board.clock()
                 result = await self._check(server)
                 if isinstance(result, StreamedResponse):
-                    result.close()
+                    result = self._close_streamed(result)
                 # Requests show whether a server fails that need no check.
                 if not probe.is_optional or _is_response_of(server, result):
                     self._apply_result(server, result, sent_at)
@@ -164,6 +164,19 @@
             self._probes_by_id.pop(server_id, None)
             probe.completed.set()
 
+    def _close_streamed(self, response: StreamedResponse) -> ForwardResult:
+        """Close a streamed response, and return what counts of it.
+
+        While memory is short, short responses are streamed too. Their headers
+        have all that is needed.
+        """
+        response.close()
+        if not self._pool.memory.account.is_short(self._board.clock()):
+            return response
+        return Answered(
+            response.status, response.headers, b'', response.server_id
+        )
+
     async def _check(self, server: KnownServer) -> ForwardResult:
         board = self._board
         service_config = board.find_service_config(server.report.service)
--- a/tests/test_load_probing.py
+++ b/tests/test_load_probing.py
@@ -3,9 +3,18 @@
 import anyio
 import pytest
 
+from copperyard.clock import seconds_since_boot
+from copperyard.exchanges import BackendPool
 from copperyard.load_probing import LoadProber
+from copperyard.memory.memory_account import (
+    LIMIT_MIN_BYTES,
+    Holder,
+    HolderKind,
+)
+from copperyard.memory.process_memory import ProcessMemory
 from copperyard.outcomes import Answered
-from tests.entry_builders import build_board
+from tests.entry_builders import build_board, build_report
+from tests.standins.platform import Response, serve_http
 
 pytestmark = [pytest.mark.anyio, pytest.mark.timeout(20)]
 
@@ -110,3 +119,26 @@
     load = await run_check(board, FaultyPool())
     assert not load.is_available(board.clock())
     assert board.metrics.counts_by_name['fault.contained'] == 1
+
+
+async def test_answer_without_memory_does_not_exclude_a_server():
+    """Guards against servers that are given up while memory is short.
+
+    The answer to a health check is then streamed, however short it is.
+    """
+    board = build_board(clock=seconds_since_boot)
+
+    async def respond(request):
+        return Response(200, {'x-instance-id': 's1'}, b'ok')
+
+    memory = ProcessMemory(1, clock=board.clock)
+    held = Holder(HolderKind.ANSWERS)
+    assert memory.reserve_now(held, LIMIT_MIN_BYTES)
+    async with serve_http(respond) as address:
+        report = build_report('s1', address=address)
+        board.server_table.apply(report, board.clock())
+        board.find_load(board.server_table.servers_by_id['s1'])
+        with BackendPool(board.clock, memory=memory) as pool:
+            load = await run_check(board, pool)
+    assert not board.metrics.counts_by_name['probe.failed']
+    assert load.is_available(board.clock())
