Drop no request that a server runs; keep refusals and bodies exact

While memory was short, a connection with a complete answer behind a request that ran for more than 8 s was closed, which cancelled that request at its server. Such an answer waits for its turn and is not unread. A streamed answer that is read counts as progress.

A forwarded request whose first bytes did not fit was refused without the headers that name its outcome, so the other entry told its caller 502.

A streamed answer kept the body of its request, whose bytes had been given back.

--- a/copperyard/caller_connections.py
+++ b/copperyard/caller_connections.py
@@ -183,7 +183,14 @@
             self._is_reading = False
 
     def find_standing(self) -> Standing | None:
-        """Return what would be free if the connection were dropped."""
+        """Return what would be free if the connection were dropped.
+
+        :returns: ``None`` if it waits for memory or a server itself.
+        """
+        pending = self._pending_responses
+        if pending and pending[0].response is None:
+            # Answers behind this one cannot be read yet.
+            return None
         return self._memory.build_standing(
             self._last_active_at, has_pending=bool(self._pending_responses)
         )
@@ -261,10 +268,10 @@
             reader.feed(content)
         else:
             reader.refusal = RefusalReason.TOO_SLOW
-        if not self._memory.take(reader.held_bytes):
-            reader.discard()
+        if self._memory.take(reader.held_bytes):
+            await self._start_requests(group)
+        else:
             reader.refusal = RefusalReason.NO_MEMORY
-        await self._start_requests(group)
         if reader.refusal is not None and self._is_reading:
             self._refuse(reader.refusal)
             self._is_reading = False
@@ -505,6 +512,7 @@
                     return False
                 if not await self._send(_encode_part(part, chunked=chunked)):
                     return False
+                self._last_active_at = self._callbacks.clock()
                 if not part:
                     return True
         return False
--- a/copperyard/exchanges.py
+++ b/copperyard/exchanges.py
@@ -3,6 +3,7 @@
 import math
 import os
 from collections.abc import Callable
+from dataclasses import replace
 from types import TracebackType
 from typing import Final, Self, TypeAlias
 
@@ -372,6 +373,8 @@
                 return self._build_answered(head)
             self._parts.append(part)
             size = max(self._received_bytes - received_before, head.length)
+        # The body of the request is not needed while this one is read.
+        self._attempt = replace(self._attempt, body=b'')
         return StreamedResponse(head, self)
 
     def _may_hold(self, size: int) -> bool:
--- a/copperyard/request_reader.py
+++ b/copperyard/request_reader.py
@@ -97,7 +97,9 @@
 
     @property
     def headers(self) -> tuple[Header, ...]:
-        """Return the headers of the request that is being read."""
+        """Return the headers of the first request that was not taken yet."""
+        if self.complete_requests:
+            return self.complete_requests[0].headers
         return tuple(self._headers)
 
     @property
--- a/tests/test_process_memory.py
+++ b/tests/test_process_memory.py
@@ -21,6 +21,7 @@
 from copperyard.forwarded_serving import ForwardedRequestServer
 from copperyard.http_calls import PLAIN_DIALECT, build_request, permit_always
 from copperyard.memory.memory_account import (
+    ANSWER_PROGRESS_TIMEOUT_S,
     BODY_PROGRESS_TIMEOUT_S,
     LIMIT_MIN_BYTES,
     Holder,
@@ -86,7 +87,7 @@
         return CallerResponse(200, (), b'%d' % len(request.body))
 
     @asynccontextmanager
-    async def serve(self):
+    async def serve(self, **changes):
         """Serve callers and yield the port."""
         callbacks = ListenerCallbacks(
             self.handle,
@@ -96,6 +97,7 @@
             lambda reason: None,
             self.metrics,
             memory=self.memory,
+            **changes,
         )
 
         async def run(stream):
@@ -308,11 +310,11 @@
     assert process.memory.account.held_bytes == 0
 
 
-async def fetch(pool, address):
+async def fetch(pool, address, body=b''):
     """Send one request on a new connection."""
     attempt = Attempt(
         request=build_request('GET', b'/', ((b'host', b'h'),)),
-        body=b'',
+        body=body,
         deadline=seconds_since_boot() + 10,
         response_timeout_s=10,
         may_send=permit_always,
@@ -348,3 +350,81 @@
     assert not process.memory.account.waiting_count
     process.memory.close(held)
     assert process.memory.account.held_bytes == 0
+
+
+async def test_answers_that_wait_for_their_turn_are_not_stalled():
+    """Guards against a connection closed under a request that a server runs.
+
+    The second answer is complete, and the caller cannot read it before the
+    first one, which takes longer than an answer may be unread.
+    """
+    process = Process()
+    is_ended = anyio.Event()
+
+    async def handle(request):
+        if request.target == b'/first':
+            await is_ended.wait()
+        return CallerResponse(200, (), request.target)
+
+    process.handle = handle
+    async with process.serve() as port:
+        reader, writer = await asyncio.open_connection('127.0.0.1', port)
+        for target in (b'first', b'second'):
+            writer.write(b'GET /%b HTTP/1.1\r\nHost: h\r\n\r\n' % target)
+        await asyncio.sleep(0.05)
+        process.skipped_s += ANSWER_PROGRESS_TIMEOUT_S + 1
+        process.memory.account.deny(process.clock())
+        process.check()
+        is_ended.set()
+        content = await reader.readuntil(b'/second')
+        assert content.index(b'/first') < content.index(b'/second')
+        writer.close()
+
+
+@pytest.mark.parametrize('size', [LIMIT_MIN_BYTES // 8, 20_000])
+async def test_refused_forwarded_request_keeps_its_headers(size):
+    """Guards against a refusal that the other entry takes for unknown.
+
+    The bytes of a request that were received do not fit, whether it is
+    complete or not.
+    """
+    process = Process()
+    seen = []
+
+    def build_refusal(outcome, headers):
+        seen.append((outcome.reason, dict(headers).get(REQUEST_ID_HEADER)))
+        return CallerResponse(503)
+
+    async with process.serve(build_refusal=build_refusal) as port:
+        held = Holder(HolderKind.ANSWERS)
+        assert process.memory.reserve_now(held, LIMIT_MIN_BYTES)
+        reader, writer = await asyncio.open_connection('127.0.0.1', port)
+        head = encode_post(size, b'%b: q1' % REQUEST_ID_HEADER)
+        writer.write(head + bytes(20_000))
+        assert b' 503 ' in await reader.readline()
+        writer.close()
+    assert seen == [(RefusalReason.NO_MEMORY, b'q1')]
+
+
+async def test_streamed_answer_does_not_keep_the_body_of_its_request():
+    """Guards against bodies that are held and not counted.
+
+    The bytes of a request are given back once its answer begins, which a
+    caller may read for as long as its deadline permits.
+    """
+    process = Process()
+
+    async def respond(request):
+        return Response(200, {}, bytes(MIB))
+
+    async with serve_http(respond) as address:
+        with BackendPool(memory=process.memory) as pool:
+            held = Holder(HolderKind.REQUESTS)
+            assert process.memory.reserve_now(held, LIMIT_MIN_BYTES)
+            tracemalloc.start()
+            stream = await fetch(pool, address, bytes(4 * MIB))
+            held_bytes, _ = tracemalloc.get_traced_memory()
+            tracemalloc.stop()
+            assert isinstance(stream, StreamedResponse)
+            assert held_bytes < 3 * MIB
+            stream.close()
