Free what cancelled tasks held without a collection of cycles

A task group puts the error of a cancelled task, and so its frames, into a cycle of references. Each answered request whose hedge was cancelled kept its body and answer until a run of the garbage collector, and the answer stayed reserved. Dropping a connection with unread answers freed nothing at once.

--- a/copperyard/caller_connections.py
+++ b/copperyard/caller_connections.py
@@ -22,7 +22,7 @@
     encode_response_head,
     uses_chunked_coding,
 )
-from copperyard.fault_barriers import FaultBarrier
+from copperyard.fault_barriers import FaultBarrier, end_if_cancelled
 from copperyard.memory.connection_memory import (
     WRITE_PART_BYTES,
     ConnectionMemory,
@@ -240,7 +240,9 @@
             )
             async with self._stream, anyio.create_task_group() as group:
                 self._scope = group.cancel_scope
-                group.start_soon(self._write_responses, group.cancel_scope)
+                group.start_soon(
+                    end_if_cancelled, self._write_responses, group.cancel_scope
+                )
                 await self._read(group)
 
     def _close_responses(self) -> None:
@@ -363,7 +365,7 @@
             )
             self._is_reading = request.is_keep_alive
             self._enqueue(pending)
-            group.start_soon(self._handle, request, pending)
+            group.start_soon(end_if_cancelled, self._handle, request, pending)
 
     async def _handle(
         self, request: ReceivedRequest, pending: _PendingResponse
--- a/copperyard/dispatching.py
+++ b/copperyard/dispatching.py
@@ -30,6 +30,7 @@
 )
 from copperyard.entry_board import EntryBoard
 from copperyard.exchanges import BackendPool, ForwardResult, StreamedResponse
+from copperyard.fault_barriers import end_if_cancelled
 from copperyard.load_probing import build_server_address
 from copperyard.load_reports import (
     record_leaving,
@@ -137,7 +138,9 @@
             stack.callback(state.close_responses)
             with scope:
                 async with anyio.create_task_group() as group:
-                    group.start_soon(self._hedge, state, group)
+                    group.start_soon(
+                        end_if_cancelled, self._hedge, state, group
+                    )
                     await self._run_loop(state, group, None)
             stack.pop_all()
             self._scopes.discard(scope)
--- a/copperyard/fault_barriers.py
+++ b/copperyard/fault_barriers.py
@@ -1,6 +1,7 @@
 """Containment of unexpected exceptions."""
 
 from collections.abc import Awaitable, Callable
+from contextlib import suppress
 from types import TracebackType
 from typing import Final, Self
 
@@ -71,3 +72,19 @@
             await controller(*arguments)
             return
         await anyio.sleep(RESTART_DELAY_S)
+
+
+async def end_if_cancelled(
+    run: Callable[..., Awaitable[None]], *arguments: object
+) -> None:
+    """Run a task that ends without an error when its group is cancelled.
+
+    A task group puts the error of a cancelled task into a cycle of references.
+    Its frames, with the bodies of requests and answers in them, would stay in
+    memory until the garbage collector runs.
+
+    :param run: the task; nothing may follow it.
+    :param arguments: arguments of the task.
+    """
+    with suppress(anyio.get_cancelled_exc_class()):
+        await run(*arguments)
--- a/tests/test_process_memory.py
+++ b/tests/test_process_memory.py
@@ -12,6 +12,7 @@
 from copperyard.caller_connections import CallerConnection, ListenerCallbacks
 from copperyard.caller_responses import CallerResponse
 from copperyard.clock import seconds_since_boot
+from copperyard.dispatching import Dispatcher
 from copperyard.exchanges import BackendPool, StreamedResponse
 from copperyard.forwarded_requests import (
     ForwardedOutcome,
@@ -43,7 +44,7 @@
 from copperyard.routes import RequestLimits
 from copperyard.store_replica import StoreReplica
 from copperyard.tenants.key_checker import KeyChecker
-from tests.entry_builders import build_board
+from tests.entry_builders import build_board, build_request_state
 from tests.standins.platform import Response, serve_http
 
 pytestmark = [pytest.mark.anyio, pytest.mark.timeout(30)]
@@ -428,3 +429,72 @@
             assert isinstance(stream, StreamedResponse)
             assert held_bytes < 3 * MIB
             stream.close()
+
+
+async def test_dropped_answer_is_free_before_cycles_are_collected():
+    """Guards against dropped answers that keep their memory reserved."""
+    process = Process()
+
+    async def handle(request):
+        hold = AnswerHold(process.memory)
+        assert hold.grow(2 * MIB)
+        # More than the kernel takes while nobody reads.
+        return CallerResponse(200, (), bytes(32 * MIB), hold=hold)
+
+    process.handle = handle
+    gc.collect()
+    gc.disable()
+    try:
+        async with process.serve() as port:
+            _, writer = await asyncio.open_connection(
+                '127.0.0.1', port, limit=1
+            )
+            writer.write(b'GET / HTTP/1.1\r\nHost: h\r\n\r\n')
+            await asyncio.sleep(0.1)
+            assert process.memory.account.held_by_kind[HolderKind.ANSWERS]
+            process.skipped_s += ANSWER_PROGRESS_TIMEOUT_S + 1
+            process.memory.account.deny(process.clock())
+            process.check()
+            await asyncio.sleep(0.1)
+            assert process.metrics.counts_by_name['memory.dropped']
+            assert not process.memory.account.held_bytes
+            writer.close()
+    finally:
+        gc.enable()
+
+
+async def test_answered_request_is_free_before_cycles_are_collected():
+    """Guards against answers whose hedge was cancelled and stay reserved."""
+    board = build_board('s1', clock=seconds_since_boot)
+    server = board.server_table.servers_by_id['s1']
+    process = Process()
+
+    class Picker:
+        async def pick(self, service, excluded_ids, options):
+            """Pick the only server."""
+            return server
+
+    class Pool:
+        async def forward(self, address, attempt):
+            """Answer with a hold, after the hedge has begun to wait."""
+            assert attempt.may_send()
+            hold = AnswerHold(process.memory)
+            assert hold.grow(MIB)
+            await anyio.sleep(0.01)
+            headers = ((b'x-response-signature', b's'),)
+            return Answered(200, headers, b'', 's1', hold)
+
+    dispatcher = Dispatcher(board, Pool(), Picker())
+
+    async def run():
+        outcome = await dispatcher.run(build_request_state(seconds_since_boot))
+        return outcome.status, process.memory.account.held_bytes
+
+    gc.collect()
+    gc.disable()
+    try:
+        assert await run() == (200, MIB)
+        await anyio.sleep(0)
+        assert not process.memory.account.held_bytes
+    finally:
+        gc.enable()
