Do not widen the subset for hedges

A hedge takes only a fast server, so it found none in a subset whose servers were all usable but not fast. Two such hedges in a row doubled the width; six within 3 s put the subset of 120 servers out of force.

--- a/copperyard/picking.py
+++ b/copperyard/picking.py
@@ -230,9 +230,11 @@
                 state, self._list_candidates(state)
             )
         is_found = best is not None and best.cost <= SUBSET_COST_MAX
-        self._board.subsets.record_pick(
-            state.service, self._board.clock(), is_found=is_found
-        )
+        if not state.options.is_hedge:
+            # A hedge finds no server as soon as none is fast.
+            self._board.subsets.record_pick(
+                state.service, self._board.clock(), is_found=is_found
+            )
         if best is not None and is_found:
             return best.server
         self._board.metrics.count('subset.widened')
--- a/tests/test_subset_picks.py
+++ b/tests/test_subset_picks.py
@@ -93,6 +93,21 @@
     assert board.metrics.counts_by_name['subset.widened'] == 1
 
 
+async def test_hedges_do_not_widen_the_subset():
+    """Guards against wide subsets while servers are merely not fast.
+
+    A hedge takes only a fast server; requests still find usable ones.
+    """
+    board = build_many()
+    before = find_subset(board, 'ledger', board.clock())
+    samples = {f's{number}': LoadSample(0, 3, 1.6) for number in range(120)}
+    for _ in range(6):
+        board.clock.now += 0.5
+        picker, _ = build_picker(board, samples)
+        await picker.pick('ledger', (), PickOptions(is_hedge=True))
+    assert find_subset(board, 'ledger', board.clock()) == before
+
+
 async def test_full_failure_domain_leaves_requests_to_the_others():
     """Guards against a failure domain whose entries keep to their own servers.
 
