Split the description of candidates out of the picker

Change: describe_candidates in candidates.py writes what a refusal says of the servers; the text is the same. Result: no change in behaviour; tests/test_picking.py passes.

--- a/copperyard/candidates.py
+++ b/copperyard/candidates.py
@@ -5,6 +5,8 @@
 from random import Random
 from typing import Final
 
+from copperyard.clock import MILLISECONDS_PER_S
+from copperyard.entry_board import EntryBoard
 from copperyard.server_loads import ServerLoad
 from copperyard.server_table import KnownServer
 
@@ -92,3 +94,32 @@
     :param candidate: a server that is eligible for the request.
     """
     return candidate.adjusted_cost
+
+
+def describe_candidates(
+    board: EntryBoard, service: str, candidates: Sequence[Candidate]
+) -> str:
+    """Return what a refusal says of the servers of a service.
+
+    :param board: the servers and their loads.
+    :param service: name of the service.
+    :param candidates: servers that were eligible for the request.
+    """
+    now = board.clock()
+    servers = board.list_servers(service, now)
+    server_count = len(servers)
+    limited = sum(
+        not board.may_send_within_limit(server, now) for server in servers
+    )
+    if not candidates:
+        return f'0 of {server_count} servers usable, {limited} at their limit'
+    loads = [candidate.load for candidate in candidates]
+    active_requests = sum(load.count_active_requests() for load in loads)
+    slots = sum(load.sample.slots for load in loads)
+    newest_at = max(load.sampled_at for load in loads)
+    age_ms = round(MILLISECONDS_PER_S * (now - newest_at))
+    return (
+        f'{len(loads)} of {server_count} servers usable, '
+        f'{active_requests} of {slots} slots busy, '
+        f'newest report {age_ms} ms old, {limited} at their limit'
+    )
