Decide which share of a service's requests leaves its failure domain

Cause: servers of other failure domains have a fixed cost factor of 2.5, whatever they have to spare and however far away they are. Change: copperyard/spillover decides on a share for each service and domain, from reports that two entries of each domain send while a domain is under pressure. A request of that share may go to eight servers there at 1.1 times the cost of local ones; all others are picked as before. EntrySettings.price_per_gb is the price of bytes, default none.

--- a/copperyard/connections.py
+++ b/copperyard/connections.py
@@ -42,6 +42,8 @@
         # Longest idle time after which the connection is still reused; lower
         # if the server announces a shorter keep-alive timeout.
         self.max_idle_s = IDLE_MAX_S
+        # Bytes written and read since it was last returned to the pool.
+        self.transferred_bytes = 0
         host, port = split_address(server.address)
         self._peer = (host, port)
         self._socket = socket.socket(
@@ -75,9 +77,11 @@
         :returns: number of bytes accepted by the kernel.
         """
         try:
-            return self._socket.send(content)
+            written_bytes = self._socket.send(content)
         except BlockingIOError:
             return 0
+        self.transferred_bytes += written_bytes
+        return written_bytes
 
     async def wait_writable(self) -> None:
         """Wait until the socket accepts more bytes."""
@@ -89,7 +93,9 @@
         :returns: received bytes; empty at the end of the stream.
         """
         await anyio.wait_readable(self._socket)
-        return self._socket.recv(READ_BUFFER_BYTES)
+        content = self._socket.recv(READ_BUFFER_BYTES)
+        self.transferred_bytes += len(content)
+        return content
 
     def is_readable(self) -> bool:
         """Return whether data or an end of stream is waiting to be read."""
@@ -139,6 +145,10 @@
         self.on_reset = on_reset
         # Called with the idle time of each connection that a server closes.
         self.on_idle_closed: Callable[[float], None] | None = None
+        # Called with the id of a server and how long a connection to it took
+        # to open, and with the bytes of each exchange that was completed.
+        self.on_opened: Callable[[str, float], None] | None = None
+        self.on_transferred: Callable[[str, int], None] | None = None
         self._connections_by_server: dict[str, set[Connection]] = {}
         self._idle_by_server: dict[str, list[Connection]] = {}
         self._unread_checked_at = -math.inf
@@ -264,6 +274,16 @@
         connections.add(connection)
         return connection
 
+    def record_opened(self, connection: Connection) -> None:
+        """Report how long a new connection took to open.
+
+        :param connection: connection that has just been opened.
+        """
+        if self.on_opened is not None:
+            self.on_opened(
+                connection.server_id, self.clock() - connection.opened_at
+            )
+
     def release(self, connection: Connection) -> None:
         """Return a connection to the pool after a complete response.
 
@@ -271,6 +291,9 @@
         """
         connection.last_used_at = self.clock()
         server_id = connection.server_id
+        if self.on_transferred is not None:
+            self.on_transferred(server_id, connection.transferred_bytes)
+        connection.transferred_bytes = 0
         self._idle_by_server.setdefault(server_id, []).append(connection)
 
     def close(self, connection: Connection) -> None:
--- a/copperyard/dispatching.py
+++ b/copperyard/dispatching.py
@@ -269,10 +269,10 @@
         processing_time = self._board.find_processing_time(route)
         mix = self._board.find_priority_mix(state.request.service)
         is_urgent = mix.is_urgent(
-            route.priority,
-            is_idempotent=route.is_idempotent,
+            route.priority, is_idempotent=route.is_idempotent
         )
         return PickOptions(
+            body_bytes=len(state.body),
             extra_slots=URGENT_EXTRA_SLOTS if is_urgent else 0,
             wait_max_s=SLOT_WAIT_SHARE * route.target_latency_s,
             is_single_attempt=not route.is_idempotent or route.max_attempts < 2,
--- a/copperyard/entry.py
+++ b/copperyard/entry.py
@@ -46,6 +46,11 @@
 from copperyard.settings_reloader import SettingsReloader
 from copperyard.signal_mask import block_signals
 from copperyard.signals import receive_signals
+from copperyard.spillover.board_spillover import (
+    record_opened,
+    record_transferred,
+)
+from copperyard.spillover.spillover_controller import SpilloverController
 from copperyard.store_poller import StorePoller
 from copperyard.store_replica import StoreReplica
 
@@ -80,6 +85,8 @@
         self._random = Random()
         self._pool = BackendPool(self.board.clock)
         self._pool.on_idle_closed = self.board.idle_limits.record_closing
+        self._pool.on_opened = partial(record_opened, self.board)
+        self._pool.on_transferred = partial(record_transferred, self.board)
         self._store = PlatformStore(
             self._pool, settings.store_address, self.board.metrics
         )
@@ -170,6 +177,7 @@
             'registration': poller.register,
             'close_expired': self._close_expired,
             'settings': self._settings_reloader.run,
+            'spillover': SpilloverController(self.board, self._peers).run,
         }
         for name, controller in controllers_by_name.items():
             group.start_soon(
--- a/copperyard/entry_board.py
+++ b/copperyard/entry_board.py
@@ -25,6 +25,7 @@
 from copperyard.server_pauses import ServerPauses
 from copperyard.server_table import KnownServer, ServerTable
 from copperyard.shared_retry_budget import SharedRetryBudget
+from copperyard.spillover.spillover_decisions import SpilloverDecisions
 from copperyard.subsets.server_subsets import ServerSubsets
 from copperyard.subsets.subset_rules import EntryLayout
 from copperyard.urgency import PriorityMix
@@ -50,6 +51,7 @@
     :param entry_layout: the same entries by failure domain.
     :param idle_limits: after which idle time servers close connections.
     :param subsets: which servers of each service this entry uses.
+    :param spillover: which requests leave the failure domain.
     :param has_servers: whether the backend servers have been read at least
         once.
     :param drain: the drain in progress while the process is shutting down.
@@ -88,6 +90,7 @@
     entry_layout: EntryLayout = EntryLayout()
     idle_limits: IdleLimits = field(default_factory=IdleLimits)
     subsets: ServerSubsets = field(default_factory=ServerSubsets)
+    spillover: SpilloverDecisions = field(default_factory=SpilloverDecisions)
     has_servers: bool = False
     drain: Drain | None = None
     server_table: ServerTable = field(default_factory=ServerTable)
--- a/copperyard/entry_messages.py
+++ b/copperyard/entry_messages.py
@@ -27,6 +27,7 @@
     is_addressable,
 )
 from copperyard.settings import is_ipv4
+from copperyard.spillover.messages import DomainReport
 
 # Larger datagrams are fragmented by the network, and one lost fragment loses
 # the whole datagram.
@@ -346,6 +347,7 @@
     | ServerUpdate
     | LoadUpdate
     | Goodbye
+    | DomainReport
 )
 
 
@@ -561,7 +563,7 @@
             return is_ipv4(ip) and is_ipv4(other)
         case HeardReport(ip=ip, heard_ip=other):
             return is_ipv4(ip) and is_ipv4(other)
-        case Heartbeat(ip=ip) | Goodbye(ip=ip):
+        case Heartbeat(ip=ip) | Goodbye(ip=ip) | DomainReport(ip=ip):
             return is_ipv4(ip)
         case ServerUpdate(changes=changes, end=end):
             return all(_is_usable(change, end) for change in changes)
--- a/copperyard/entry_settings.py
+++ b/copperyard/entry_settings.py
@@ -93,6 +93,9 @@
     :param bounds: limits that the platform sets for all entries.
     :param memory_bytes: memory that the process may use; ``None`` if unknown.
     :param capacity: what this VM can process; ``None`` if unknown.
+    :param price_per_gb: price of a GB (10^9 bytes) between failure domains, as
+        the number of requests in time that are worth as much; ``None`` if only
+        the time decides which requests leave their failure domain.
     """
 
     entry_id: str
@@ -108,3 +111,4 @@
     bounds: EntryBounds
     memory_bytes: int | None = None
     capacity: EntryCapacity | None = None
+    price_per_gb: float | None = None
--- a/copperyard/exchanges.py
+++ b/copperyard/exchanges.py
@@ -235,6 +235,7 @@
             return self._build_failure(
                 FailureKind.CONNECT_FAILED, os.strerror(code)
             )
+        self._pool.record_opened(connection)
         return connection
 
     async def _send(self, connection: Connection) -> AttemptFailure | None:
--- a/copperyard/picking.py
+++ b/copperyard/picking.py
@@ -10,10 +10,10 @@
 from copperyard.candidates import (
     Candidate,
     choose_best,
+    describe_candidates,
     find_adjusted_cost,
     is_saturated,
 )
-from copperyard.clock import MILLISECONDS_PER_S
 from copperyard.cold_allowance import may_send_to_cold
 from copperyard.connections import IDLE_MAX_S
 from copperyard.entry_board import EntryBoard
@@ -22,6 +22,11 @@
 from copperyard.rate_limits import RATE_MIN_PER_S
 from copperyard.server_loads import ServerLoad
 from copperyard.server_table import KnownServer
+from copperyard.spillover.board_spillover import (
+    LeavingRequest,
+    choose_remote_ids,
+    find_remote_factor,
+)
 from copperyard.subsets.board_subsets import find_subset
 
 # Probability with which a pick ignores the cost of opening a connection.
@@ -87,6 +92,7 @@
     :param is_single_attempt: whether it cannot be retried on another server.
     :param slowness_max: highest slowness at which the response is expected
         within the target latency.
+    :param body_bytes: length of its body.
     """
 
     extra_slots: int = 0
@@ -94,6 +100,7 @@
     is_hedge: bool = False
     is_single_attempt: bool = False
     slowness_max: float = float('inf')
+    body_bytes: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -107,6 +114,8 @@
     :param probed_ids: ids of servers that have been probed for the request.
     :param subset_ids: ids of the servers to pick from; ``None`` for all
         servers of the service.
+    :param remote_ids: ids of servers of another failure domain that it may go
+        to as well as to those of its own.
     """
 
     service: str
@@ -115,6 +124,7 @@
     is_exploring: bool = False
     probed_ids: set[str] = field(default_factory=set)
     subset_ids: frozenset[str] | None = None
+    remote_ids: frozenset[str] = frozenset()
 
 
 class ServerPicker:
@@ -179,11 +189,16 @@
         return picked
 
     async def _pick(self, state: _PickState) -> KnownServer | NotRun:
+        options = state.options
+        is_repeated = options.is_hedge or bool(state.excluded_ids)
+        request = LeavingRequest(state.service, is_repeated, options.body_bytes)
+        remote_ids = choose_remote_ids(self._board, request, self._random)
+        state = replace(state, remote_ids=remote_ids)
         now = self._board.clock()
         subset = find_subset(self._board, state.service, now)
         if subset is not None:
             picked = await self._pick_from_subset(
-                replace(state, subset_ids=subset.server_ids)
+                replace(state, subset_ids=subset.server_ids | remote_ids)
             )
             if picked is not None:
                 return picked
@@ -303,7 +318,7 @@
                 return NotRun(
                     RefusalReason.NO_CAPACITY,
                     self._draw_retry_after_s(),
-                    self._describe(state, candidates),
+                    describe_candidates(self._board, state.service, candidates),
                 )
             await anyio.sleep(FREE_SLOT_POLL_S)
 
@@ -319,7 +334,7 @@
             return NotRun(
                 RefusalReason.PAUSED,
                 pause_s + self._draw_retry_after_s(),
-                self._describe(state, ()),
+                describe_candidates(self._board, state.service, ()),
             )
         reason = RefusalReason.NO_SERVER
         retry_after_s = NO_SERVER_RETRY_AFTER_S * self._draw_jitter()
@@ -331,7 +346,11 @@
                 self._draw_retry_after_s()
                 + 1 / max(RATE_MIN_PER_S, sum(limits)),
             )
-        return NotRun(reason, retry_after_s, self._describe(state, ()))
+        return NotRun(
+            reason,
+            retry_after_s,
+            describe_candidates(self._board, state.service, ()),
+        )
 
     def _choose_with_free_slot(
         self,
@@ -363,33 +382,6 @@
             return None
         return best
 
-    def _describe(
-        self,
-        state: _PickState,
-        candidates: Sequence[Candidate],
-    ) -> str:
-        now = self._board.clock()
-        servers = self._board.list_servers(state.service, now)
-        server_count = len(servers)
-        limited = sum(
-            not self._board.may_send_within_limit(server, now)
-            for server in servers
-        )
-        if not candidates:
-            return (
-                f'0 of {server_count} servers usable, {limited} at their limit'
-            )
-        loads = [candidate.load for candidate in candidates]
-        active_requests = sum(load.count_active_requests() for load in loads)
-        slots = sum(load.sample.slots for load in loads)
-        newest_at = max(load.sampled_at for load in loads)
-        age_ms = round(MILLISECONDS_PER_S * (now - newest_at))
-        return (
-            f'{len(loads)} of {server_count} servers usable, '
-            f'{active_requests} of {slots} slots busy, '
-            f'newest report {age_ms} ms old, {limited} at their limit'
-        )
-
     def _list_candidates(self, state: _PickState) -> list[Candidate]:
         now = self._board.clock()
         return [
@@ -436,7 +428,9 @@
         load = self._board.find_load(server)
         cost = adjusted_cost = load.estimate_cost(now)
         if server.report.failure_domain != self._board.settings.failure_domain:
-            adjusted_cost *= REMOTE_DOMAIN_COST_FACTOR
+            adjusted_cost *= REMOTE_DOMAIN_COST_FACTOR * find_remote_factor(
+                server.report.server_id, state.remote_ids
+            )
         if not (state.is_exploring or self._is_connected(server, state)):
             adjusted_cost *= (
                 CONNECT_COST_FACTOR
