--- a/copperyard/picking.py
+++ b/copperyard/picking.py
@@ -193,7 +193,8 @@
         is_repeated = options.is_hedge or bool(state.excluded_ids)
         request = LeavingRequest(state.service, is_repeated, options.body_bytes)
         remote_ids = choose_remote_ids(self._board, request, self._random)
-        state = replace(state, remote_ids=remote_ids)
+        if remote_ids:
+            state = replace(state, remote_ids=remote_ids)
         now = self._board.clock()
         subset = find_subset(self._board, state.service, now)
         if subset is not None:
