--- a/copperyard/entry.py
+++ b/copperyard/entry.py
@@ -60,6 +60,11 @@
 from copperyard.settings_reloader import SettingsReloader
 from copperyard.signal_mask import block_signals
 from copperyard.signals import receive_signals
+from copperyard.spillover.board_spillover import (
+    record_opened,
+    record_transferred,
+)
+from copperyard.spillover.spillover_controller import SpilloverController
 from copperyard.store_poller import StorePoller
 from copperyard.store_replica import StoreReplica
 
@@ -108,6 +113,8 @@
                 SERVER_DESCRIPTORS_SHARE * settings.max_descriptors
             )
         self._pool.on_idle_closed = self.board.idle_limits.record_closing
+        self._pool.on_opened = partial(record_opened, self.board)
+        self._pool.on_transferred = partial(record_transferred, self.board)
         self._store = PlatformStore(
             self._pool, settings.store_address, self.board.metrics
         )
@@ -213,6 +220,7 @@
             'allowances': self._allowances.run,
             'close_expired': self._close_expired,
             'settings': self._settings_reloader.run,
+            'spillover': SpilloverController(self.board, self._peers).run,
         }
         for name, controller in controllers_by_name.items():
             group.start_soon(
--- a/copperyard/entry_messages.py
+++ b/copperyard/entry_messages.py
@@ -34,6 +34,7 @@
     is_addressable,
 )
 from copperyard.settings import is_ipv4
+from copperyard.spillover.messages import DomainReport
 
 # Larger datagrams are fragmented by the network, and one lost fragment loses
 # the whole datagram.
@@ -363,6 +364,7 @@
     | AllowanceVerdict
     | AllowanceReferral
     | AllowanceReturn
+    | DomainReport
 )
 
 
@@ -583,6 +585,7 @@
             | Goodbye(ip=ip)
             | RolloutCounts(ip=ip)
             | RolloutDirective(ip=ip)
+            | DomainReport(ip=ip)
         ):
             return is_ipv4(ip)
         case ServerUpdate(changes=changes, end=end):
