Let requests leave their failure domain by shares, where the settings say so

Cause: servers of other failure domains cost a fixed factor of 2.5, whatever the load of the own ones and of the others.

Off by default; `spillover.enabled` in the settings turns it on.

--- a/copperyard/dispatching.py
+++ b/copperyard/dispatching.py
@@ -49,9 +49,9 @@
     UnknownReason,
 )
 from copperyard.peer_forwarding import PeerForwarder
+from copperyard.pick_options import PickOptions
 from copperyard.picking import (
     SATURATED_RETRY_AFTER_S,
-    PickOptions,
     ServerPicker,
 )
 from copperyard.platform import PLATFORM_DIALECT
--- a/copperyard/entry.py
+++ b/copperyard/entry.py
@@ -220,8 +220,10 @@
             'allowances': self._allowances.run,
             'close_expired': self._close_expired,
             'settings': self._settings_reloader.run,
-            'spillover': SpilloverController(self.board, self._peers).run,
         }
+        if self.board.settings.is_spillover_enabled:
+            spillover = SpilloverController(self.board, self._peers)
+            controllers_by_name['spillover'] = spillover.run
         for name, controller in controllers_by_name.items():
             group.start_soon(
                 run_controller, controller, name, self.board.metrics
--- a/copperyard/entry_settings.py
+++ b/copperyard/entry_settings.py
@@ -93,6 +93,8 @@
     :param bounds: limits that the platform sets for all entries.
     :param memory_bytes: memory that the process may use; ``None`` if unknown.
     :param capacity: what this VM can process; ``None`` if unknown.
+    :param is_spillover_enabled: whether requests may leave their failure domain
+        by shares.
     :param price_per_gb: price of a GB (10^9 bytes) between failure domains, as
         the number of requests in time that are worth as much; ``None`` if only
         the time decides which requests leave their failure domain.
@@ -111,4 +113,5 @@
     bounds: EntryBounds
     memory_bytes: int | None = None
     capacity: EntryCapacity | None = None
+    is_spillover_enabled: bool = False
     price_per_gb: float | None = None
--- a/copperyard/picking.py
+++ b/copperyard/picking.py
@@ -1,7 +1,7 @@
 """Selection of a backend server for each request."""
 
 from collections.abc import Callable, Collection, Iterator, Sequence
-from dataclasses import dataclass, field, replace
+from dataclasses import replace
 from random import Random
 from typing import Final
 
@@ -20,6 +20,7 @@
 from copperyard.entry_board import EntryBoard
 from copperyard.load_probing import LoadProber, Probe
 from copperyard.outcomes import NotRun, RefusalReason
+from copperyard.pick_options import PickOptions, PickState
 from copperyard.rate_limits import RATE_MIN_PER_S
 from copperyard.server_loads import ServerLoad
 from copperyard.server_table import KnownServer
@@ -71,58 +72,6 @@
 CONNECT_COST_FACTOR: Final = 1.1
 
 
-@dataclass(frozen=True, slots=True)
-class PickOptions:
-    """What a request requires of the server that is picked for it.
-
-    :param extra_slots: requests that it may add beyond a server's
-        concurrency limit.
-    :param wait_max_s: longest wait for a free slot, in seconds.
-    :param is_hedge: whether it is a hedged copy, which is sent to a preferred
-        server or not at all.
-    :param is_single_attempt: whether it cannot be retried on another server.
-    :param slowness_max: highest slowness at which the response is expected
-        within the target latency.
-    :param body_bytes: length of its body.
-    """
-
-    extra_slots: int = 0
-    wait_max_s: float = 0.0
-    is_hedge: bool = False
-    is_single_attempt: bool = False
-    slowness_max: float = float('inf')
-    body_bytes: int = 0
-
-
-@dataclass(frozen=True, slots=True)
-class _PickState:
-    """State of picking a server for one request.
-
-    :param service: name of the service.
-    :param excluded_ids: ids of servers that the request was sent to before.
-    :param options: requirements of the request.
-    :param is_exploring: whether the cost of a new connection is ignored.
-    :param is_canary: whether it is for the new version of a roll-out.
-    :param probed_ids: ids of servers that have been probed for the request.
-    :param subset_ids: ids of the servers to pick from; ``None`` for all
-        servers of the service.
-    :param is_probe: whether a server to probe is chosen, not one to send the
-        request to.
-    :param remote_ids: ids of servers of another failure domain that it may go
-        to as well as to those of its own.
-    """
-
-    service: str
-    excluded_ids: Collection[str] = ()
-    options: PickOptions = field(default_factory=PickOptions)
-    is_exploring: bool = False
-    is_canary: bool = False
-    probed_ids: set[str] = field(default_factory=set)
-    subset_ids: frozenset[str] | None = None
-    is_probe: bool = False
-    remote_ids: frozenset[str] = frozenset()
-
-
 class ServerPicker:
     """Picks the server with the lowest expected cost.
 
@@ -169,7 +118,7 @@
         is_exploring = self._random.random() < find_exploration_probability(
             self._board.entry_layout
         )
-        state = _PickState(service, excluded_ids, options, is_exploring)
+        state = PickState(service, excluded_ids, options, is_exploring)
         self._board.subsets.record_request(service, self._board.clock())
         waiting = self._board.waiting_requests_by_service
         waiting[service] += 1
@@ -181,7 +130,7 @@
             self._check_if_due(picked)
         return picked
 
-    async def _pick_version(self, state: _PickState) -> KnownServer | NotRun:
+    async def _pick_version(self, state: PickState) -> KnownServer | NotRun:
         """Pick a server of the new version if it is its turn.
 
         Requests that have been sent before go to the old one, which also gets
@@ -203,7 +152,7 @@
         return await self._pick(state)
 
     def _list_servers(
-        self, state: _PickState, now: float
+        self, state: PickState, now: float
     ) -> Sequence[KnownServer]:
         servers: Sequence[KnownServer] = self._board.list_servers(
             state.service, now
@@ -216,7 +165,7 @@
             return servers
         return [it for it in servers if it.report.server_id in subset_ids]
 
-    async def _pick(self, state: _PickState) -> KnownServer | NotRun:
+    async def _pick(self, state: PickState) -> KnownServer | NotRun:
         subset = None
         remote_ids: frozenset[str] = frozenset()
         if not state.is_canary:
@@ -232,13 +181,13 @@
                 return picked
         return await self._pick_from_all(state)
 
-    def _choose_remote_ids(self, state: _PickState) -> frozenset[str]:
+    def _choose_remote_ids(self, state: PickState) -> frozenset[str]:
         options = state.options
         is_repeated = options.is_hedge or bool(state.excluded_ids)
         request = LeavingRequest(state.service, is_repeated, options.body_bytes)
         return choose_remote_ids(self._board, request, self._random)
 
-    async def _pick_from_subset(self, state: _PickState) -> KnownServer | None:
+    async def _pick_from_subset(self, state: PickState) -> KnownServer | None:
         """Pick one of the servers that this entry uses.
 
         :returns: ``None`` if they are all full or slow.
@@ -259,7 +208,7 @@
         self._board.metrics.count('subset.widened')
         return None
 
-    async def _probe_subset(self, state: _PickState) -> Candidate | None:
+    async def _probe_subset(self, state: PickState) -> Candidate | None:
         """Return the best server after as few health checks as possible."""
         for probe_count in (
             SUBSET_PROBES_SINGLE_ATTEMPT
@@ -276,7 +225,7 @@
                 return best
         return choose_spread(self._list_candidates(state), self._random)
 
-    async def _pick_from_all(self, state: _PickState) -> KnownServer | NotRun:
+    async def _pick_from_all(self, state: PickState) -> KnownServer | NotRun:
         wait_deadline = self._board.clock() + state.options.wait_max_s
         for finished_rounds in range(PROBE_ROUNDS_MAX):
             candidates = self._list_candidates(state)
@@ -313,7 +262,7 @@
         :param service: name of the service.
         :returns: delay in seconds.
         """
-        candidates = self._list_candidates(_PickState(service))
+        candidates = self._list_candidates(PickState(service))
         if candidates and not is_saturated(candidates):
             return FREE_SLOT_RETRY_AFTER_S
         return self._find_shortest_pause_s(service) + self._draw_retry_after_s()
@@ -342,7 +291,7 @@
 
     async def _wait_for_free_slot(
         self,
-        state: _PickState,
+        state: PickState,
         wait_deadline: float,
     ) -> KnownServer | NotRun:
         while True:
@@ -360,7 +309,7 @@
                 )
             await anyio.sleep(FREE_SLOT_POLL_S)
 
-    def _refuse_without_candidates(self, state: _PickState) -> NotRun:
+    def _refuse_without_candidates(self, state: PickState) -> NotRun:
         now = self._board.clock()
         limits = [
             limit.requests_per_s or 0
@@ -392,7 +341,7 @@
 
     def _choose_with_free_slot(
         self,
-        state: _PickState,
+        state: PickState,
         candidates: Sequence[Candidate],
     ) -> Candidate | None:
         options = state.options
@@ -420,7 +369,7 @@
             return None
         return best
 
-    def _list_candidates(self, state: _PickState) -> list[Candidate]:
+    def _list_candidates(self, state: PickState) -> list[Candidate]:
         now = self._board.clock()
         return [
             self._build_candidate(server, state, now)
@@ -429,7 +378,7 @@
         ]
 
     def _list_available(
-        self, state: _PickState, now: float
+        self, state: PickState, now: float
     ) -> Iterator[tuple[KnownServer, ServerLoad]]:
         board = self._board
         for server in self._list_servers(state, now):
@@ -453,7 +402,7 @@
     def _build_candidate(
         self,
         server: KnownServer,
-        state: _PickState,
+        state: PickState,
         now: float,
     ) -> Candidate:
         load = self._board.find_load(server)
@@ -480,7 +429,7 @@
             server, load, cost, adjusted_cost, is_fresh, preferred_cost_max
         )
 
-    def _is_connected(self, server: KnownServer, state: _PickState) -> bool:
+    def _is_connected(self, server: KnownServer, state: PickState) -> bool:
         server_id = server.report.server_id
         if self._has_fresh_connection is None or state.subset_ids is None:
             return self._has_connection(server_id)
@@ -489,9 +438,7 @@
             max_idle_s = self._board.idle_limits.find_safe_idle_s()
         return self._has_fresh_connection(server_id, max_idle_s)
 
-    def _is_fresh(
-        self, load: ServerLoad, state: _PickState, now: float
-    ) -> bool:
+    def _is_fresh(self, load: ServerLoad, state: PickState, now: float) -> bool:
         is_single_attempt = state.options.is_single_attempt
         if state.subset_ids is None:
             return load.is_fresh(now, is_single_attempt=is_single_attempt)
@@ -503,7 +450,7 @@
         return now - load.sampled_at < age_max_s
 
     def _may_confirm_limit(
-        self, server: KnownServer, state: _PickState, now: float
+        self, server: KnownServer, state: PickState, now: float
     ) -> bool:
         """Return whether the request may show if a server's limit has ended.
 
@@ -518,7 +465,7 @@
         return limits.needs_confirmation(server.report, now)
 
     async def _probe_servers(
-        self, state: _PickState, count: int = PROBES_PER_ROUND
+        self, state: PickState, count: int = PROBES_PER_ROUND
     ) -> bool:
         chosen = self._choose_servers_to_probe(state, count)
         if not chosen:
@@ -533,7 +480,7 @@
         return True
 
     def _choose_servers_to_probe(
-        self, state: _PickState, count: int
+        self, state: PickState, count: int
     ) -> list[KnownServer]:
         now = self._board.clock()
         probe_state = replace(state, is_probe=True)
--- a/copperyard/platform/settings.py
+++ b/copperyard/platform/settings.py
@@ -83,6 +83,10 @@
         bounds=_read_bounds(reader),
         memory_bytes=_read_memory_bytes(reader),
         capacity=_read_capacity(reader),
+        is_spillover_enabled=bool(
+            reader.read('spillover.enabled', bool | None, None)
+        ),
+        price_per_gb=reader.read('spillover.price-per-gb', _Bound | None, None),
     )
     if reader.error is not None:
         return Failure(reader.error)
--- a/tests/spillover_builders.py
+++ b/tests/spillover_builders.py
@@ -8,7 +8,8 @@
 from types import SimpleNamespace
 
 from copperyard.outcomes import NotRun
-from copperyard.picking import PickOptions, ServerPicker
+from copperyard.pick_options import PickOptions
+from copperyard.picking import ServerPicker
 from copperyard.server_loads import LoadSample
 from copperyard.spillover.board_spillover import record_opened
 from copperyard.spillover.spillover_controller import (
--- a/tests/test_cold_allowance.py
+++ b/tests/test_cold_allowance.py
@@ -15,7 +15,8 @@
 from copperyard.entry_peers import EntryPeers
 from copperyard.load_probing import LoadProber
 from copperyard.outcomes import Answered
-from copperyard.picking import PickOptions, ServerPicker
+from copperyard.pick_options import PickOptions
+from copperyard.picking import ServerPicker
 from copperyard.server_loads import LoadSample
 from tests.entry_builders import (
     ManualClock,
--- a/tests/test_leaving_servers.py
+++ b/tests/test_leaving_servers.py
@@ -15,7 +15,8 @@
 from copperyard.leaving_servers import RETENTION_S, LeavingServers
 from copperyard.load_probing import LoadProber
 from copperyard.outcomes import Answered, NotRun
-from copperyard.picking import PickOptions, ServerPicker
+from copperyard.pick_options import PickOptions
+from copperyard.picking import ServerPicker
 from copperyard.shared_facts import LISTED_LEAVING
 from tests.entry_builders import (
     build_board,
--- a/tests/test_rollout_hooks.py
+++ b/tests/test_rollout_hooks.py
@@ -19,7 +19,8 @@
 )
 from copperyard.metrics import Metrics
 from copperyard.outcomes import Answered, NotRun
-from copperyard.picking import PickOptions, ServerPicker
+from copperyard.pick_options import PickOptions
+from copperyard.picking import ServerPicker
 from copperyard.platform.store import PlatformStore
 from copperyard.rollouts.controller import RolloutController
 from copperyard.rollouts.coordination import Reason, Verdict
--- a/tests/test_server_pauses.py
+++ b/tests/test_server_pauses.py
@@ -12,7 +12,8 @@
 from copperyard.exchanges import BackendPool
 from copperyard.load_probing import LoadProber
 from copperyard.outcomes import Answered, NotRun, RefusalReason
-from copperyard.picking import PickOptions, ServerPicker
+from copperyard.pick_options import PickOptions
+from copperyard.picking import ServerPicker
 from copperyard.retry_after import RETRY_AFTER_MAX_S, read_retry_after_s
 from copperyard.server_loads import LoadSample
 from copperyard.server_pauses import ServerPauses
--- a/tests/test_spillover.py
+++ b/tests/test_spillover.py
@@ -8,7 +8,8 @@
 
 from copperyard.entry_messages import decode_datagram, encode_message
 from copperyard.entry_settings import EntryCapacity
-from copperyard.picking import PickOptions, ServerPicker
+from copperyard.pick_options import PickOptions
+from copperyard.picking import ServerPicker
 from copperyard.server_loads import LoadSample
 from copperyard.spillover.board_spillover import (
     BODY_BYTES_MAX,
--- a/tests/test_subset_picks.py
+++ b/tests/test_subset_picks.py
@@ -12,7 +12,8 @@
 from copperyard.entry_view import EntryPeer
 from copperyard.load_probing import CONNECTIONS_MIN, build_server_address
 from copperyard.load_updates import LOAD_UPDATE_PEERS_MAX
-from copperyard.picking import PickOptions, ServerPicker
+from copperyard.pick_options import PickOptions
+from copperyard.picking import ServerPicker
 from copperyard.server_loads import LoadSample
 from copperyard.subsets.board_subsets import find_subset, list_users
 from copperyard.subsets.subset_rules import build_layout
