Check two servers at most for a hedge of a subset; clearer names in memory

What a connection holds was called a standing.

Change: such a hedge takes a preferred server of the reserve without probes, or none. `Standing` is now `ConnectionUsage`. A release of no bytes no longer tries all that wait.

Measured: test_hedge_checks_few_servers fails before the change and passes after.

--- a/copperyard/caller_connections.py
+++ b/copperyard/caller_connections.py
@@ -27,7 +27,7 @@
     WRITE_PART_BYTES,
     ConnectionMemory,
 )
-from copperyard.memory.memory_account import HolderKind, Standing
+from copperyard.memory.memory_account import ConnectionUsage, HolderKind
 from copperyard.memory.process_memory import ProcessMemory
 from copperyard.metrics import Metrics
 from copperyard.outcomes import (
@@ -182,7 +182,7 @@
                 self._refuse(RefusalReason.LEAVING)
             self._is_reading = False
 
-    def find_standing(self) -> Standing | None:
+    def find_usage(self) -> ConnectionUsage | None:
         """Return what would be free if the connection were dropped.
 
         :returns: ``None`` if it waits for memory or a server itself.
@@ -191,7 +191,7 @@
         if pending and pending[0].response is None:
             # Answers behind this one cannot be read yet.
             return None
-        return self._memory.build_standing(
+        return self._memory.build_usage(
             self._last_active_at, has_pending=bool(self._pending_responses)
         )
 
@@ -353,7 +353,7 @@
         while self._reader.complete_requests and self._is_reading:
             if (
                 len(self._pending_responses) >= PIPELINED_REQUESTS_MAX
-                or self._memory.is_clogged
+                or self._memory.is_over_unsent_max
             ):
                 self._response_sent = anyio.Event()
                 await self._response_sent.wait()
--- a/copperyard/memory/connection_memory.py
+++ b/copperyard/memory/connection_memory.py
@@ -2,7 +2,7 @@
 
 from typing import Final
 
-from copperyard.memory.memory_account import Holder, HolderKind, Standing
+from copperyard.memory.memory_account import ConnectionUsage, Holder, HolderKind
 from copperyard.memory.process_memory import ProcessMemory
 
 # An answer is written in parts of this size, because the stream copies what
@@ -34,7 +34,7 @@
         return bool(self._holder.wanted_bytes)
 
     @property
-    def is_clogged(self) -> bool:
+    def is_over_unsent_max(self) -> bool:
         """Return whether too many answers are unsent to run a request."""
         unsent_max = self._memory.account.find_unsent_max()
         return unsent_max is not None and self.unsent_bytes > unsent_max
@@ -97,9 +97,9 @@
         """Record that a request is refused for lack of memory."""
         self._memory.record_refusal()
 
-    def build_standing(
+    def build_usage(
         self, progressed_at: float, *, has_pending: bool
-    ) -> Standing | None:
+    ) -> ConnectionUsage | None:
         """Return what would be free if the connection were dropped.
 
         :param progressed_at: when it last received or sent a byte.
@@ -109,7 +109,7 @@
         if self.is_waiting or (has_pending and not self.unsent_bytes):
             return None
         received_bytes = self._holder.held_bytes - self._running_bytes
-        return Standing(
+        return ConnectionUsage(
             received_bytes + self.unsent_bytes,
             progressed_at,
             is_body=not has_pending,
--- a/copperyard/memory/memory_account.py
+++ b/copperyard/memory/memory_account.py
@@ -89,7 +89,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Standing:
+class ConnectionUsage:
     """What a connection holds, to choose those that are dropped.
 
     :param held_bytes: bytes that are free if the connection is dropped.
@@ -295,22 +295,18 @@
 
 
 def choose_dropped(
-    standings: list[Standing], wanted_bytes: int, now: float
+    usages: list[ConnectionUsage], wanted_bytes: int, now: float
 ) -> list[int]:
     """Choose connections that make no progress, largest first.
 
-    :param standings: what each connection holds.
+    :param usages: what each connection holds.
     :param wanted_bytes: bytes that are to become free.
     :param now: current time in seconds.
     :returns: positions of the chosen connections.
     """
     stalled = sorted(
-        (
-            index
-            for index, standing in enumerate(standings)
-            if standing.is_stalled(now)
-        ),
-        key=lambda index: standings[index].held_bytes,
+        (index for index, usage in enumerate(usages) if usage.is_stalled(now)),
+        key=lambda index: usages[index].held_bytes,
         reverse=True,
     )
     chosen: list[int] = []
@@ -318,7 +314,7 @@
         if wanted_bytes <= 0:
             break
         chosen.append(index)
-        wanted_bytes -= standings[index].held_bytes
+        wanted_bytes -= usages[index].held_bytes
     return chosen
 
 
--- a/copperyard/memory/process_memory.py
+++ b/copperyard/memory/process_memory.py
@@ -13,10 +13,10 @@
 from copperyard.memory.allocator import trim_heap
 from copperyard.memory.memory_account import (
     SMALL_BYTES,
+    ConnectionUsage,
     Holder,
     HolderKind,
     MemoryAccount,
-    Standing,
     choose_dropped,
     compute_limit,
     compute_receive_buffer,
@@ -43,7 +43,7 @@
 class MemoryUser(Protocol):
     """A connection that may be dropped when memory is short."""
 
-    def find_standing(self) -> Standing | None:
+    def find_usage(self) -> ConnectionUsage | None:
         """Return what the connection holds; ``None`` if it is not stalled."""
 
     def drop(self) -> None:
@@ -137,7 +137,7 @@
         :param amount: number of bytes.
         """
         self.account.release(holder, amount)
-        if self._granted_by_holder:
+        if amount and self._granted_by_holder:
             for granted in self.account.grant_waiting(self._clock()):
                 self._granted_by_holder.pop(granted).set()
 
@@ -211,14 +211,14 @@
         self, list_users: Callable[[], Iterable[MemoryUser]], now: float
     ) -> None:
         users = []
-        standings = []
+        usages = []
         for user in list_users():
-            standing = user.find_standing()
-            if standing is not None:
+            usage = user.find_usage()
+            if usage is not None:
                 users.append(user)
-                standings.append(standing)
+                usages.append(usage)
         wanted_bytes = max(SMALL_BYTES, self.account.find_wanted_bytes())
-        for index in choose_dropped(standings, wanted_bytes, now):
+        for index in choose_dropped(usages, wanted_bytes, now):
             self._metrics.count('memory.dropped')
             users[index].drop()
 
--- a/copperyard/picking.py
+++ b/copperyard/picking.py
@@ -179,6 +179,10 @@
             )
             if picked is not None:
                 return picked
+            if state.options.is_hedge:
+                # A health check of each further server costs more than a
+                # hedge gains.
+                return await self._wait_for_free_slot(state, now)
         return await self._pick_from_all(state)
 
     def _choose_remote_ids(self, state: PickState) -> frozenset[str]:
--- a/copperyard/rollouts/coordination.py
+++ b/copperyard/rollouts/coordination.py
@@ -65,7 +65,7 @@
     old_slots: int
 
     @property
-    def is_enough(self) -> bool:
+    def is_sufficient(self) -> bool:
         """Return whether the new servers can replace the old ones."""
         least_slots = max(1, SLOTS_SHARE * self.old_slots)
         return self.new_slots >= least_slots
@@ -149,7 +149,7 @@
         is_fresh = now >= self._held_until
         self._received[key] = _Received(counts, now if is_fresh else _NEVER)
         self._record_age(now - counts.age_s, is_initial=counts.is_initial)
-        if counts.is_stopped and not self._is_against():
+        if counts.is_stopped and not self._has_bad_verdict():
             self.verdict = Verdict(RolloutState.ROLLED_BACK, Reason.TOLD)
 
     def forget_freshness(self, now: float) -> None:
@@ -181,7 +181,7 @@
         """
         if self.progress.is_final:
             return self.progress.stage
-        if self._is_against():
+        if self._has_bad_verdict():
             return Stage.STOPPED
         is_permitted = (
             self.is_begun
@@ -203,7 +203,7 @@
         :param capacity: slots of the service's servers.
         :returns: the verdict; ``None`` while there is none.
         """
-        if self._is_against() or not self.is_begun:
+        if self._has_bad_verdict() or not self.is_begun:
             return self.verdict
         finding = self._judge(now)
         if finding is Finding.BAD:
@@ -233,7 +233,7 @@
         if not is_initial:
             self._ordered_at = min(self._ordered_at, known_since)
 
-    def _is_against(self) -> bool:
+    def _has_bad_verdict(self) -> bool:
         return (
             self.verdict is not None
             and self.verdict.state is RolloutState.ROLLED_BACK
@@ -261,7 +261,7 @@
         """Return what speaks against completing the roll-out now."""
         if finding is not Finding.GOOD:
             return Reason.IN_DOUBT
-        if not capacity.is_enough:
+        if not capacity.is_sufficient:
             return Reason.FEW_SERVERS
         if not capacity.old_slots:
             return None
--- a/tests/test_memory_account.py
+++ b/tests/test_memory_account.py
@@ -23,10 +23,10 @@
     STALL_S,
     TINY_BYTES,
     WAIT_MAX_S,
+    ConnectionUsage,
     Holder,
     HolderKind,
     MemoryAccount,
-    Standing,
     choose_dropped,
     compute_limit,
     compute_receive_buffer,
@@ -151,18 +151,18 @@
 
 def test_only_stalled_connections_are_dropped_largest_first():
     """Guards against drops of those that make progress, and of too many."""
-    standings = [
-        Standing(MIB, 0.0, is_body=True),
-        Standing(8 * MIB, 0.0, is_body=True),
-        Standing(32 * MIB, BODY_PROGRESS_TIMEOUT_S, is_body=True),
-        Standing(16 * MIB, 0.0, is_body=False),
-        Standing(0, 0.0, is_body=True),
+    usages = [
+        ConnectionUsage(MIB, 0.0, is_body=True),
+        ConnectionUsage(8 * MIB, 0.0, is_body=True),
+        ConnectionUsage(32 * MIB, BODY_PROGRESS_TIMEOUT_S, is_body=True),
+        ConnectionUsage(16 * MIB, 0.0, is_body=False),
+        ConnectionUsage(0, 0.0, is_body=True),
     ]
     now = BODY_PROGRESS_TIMEOUT_S
-    assert choose_dropped(standings, 4 * MIB, now) == [1]
-    assert choose_dropped(standings, 64 * MIB, now) == [1, 0]
-    assert choose_dropped(standings, 4 * MIB, now / 2) == []
-    assert choose_dropped(standings, 4 * MIB, ANSWER_PROGRESS_TIMEOUT_S) == [2]
+    assert choose_dropped(usages, 4 * MIB, now) == [1]
+    assert choose_dropped(usages, 64 * MIB, now) == [1, 0]
+    assert choose_dropped(usages, 4 * MIB, now / 2) == []
+    assert choose_dropped(usages, 4 * MIB, ANSWER_PROGRESS_TIMEOUT_S) == [2]
 
 
 def test_unsent_answers_leave_memory_free_whatever_their_number():
--- a/tests/test_subset_picks.py
+++ b/tests/test_subset_picks.py
@@ -16,6 +16,7 @@
 from copperyard.picking import ServerPicker
 from copperyard.server_loads import LoadSample
 from copperyard.subsets.board_subsets import find_subset, list_users
+from copperyard.subsets.pick_rules import SUBSET_PROBES
 from copperyard.subsets.subset_rules import build_layout
 from tests.entry_builders import (
     build_board,
@@ -110,6 +111,15 @@
     assert find_subset(board, 'ledger', board.clock()) == before
 
 
+async def test_hedge_checks_few_servers():
+    """Guards against seven health checks for each hedge while none is fast."""
+    board = build_many()
+    samples = {f's{number}': LoadSample(0, 3, 1.6) for number in range(120)}
+    picker, prober = build_picker(board, samples)
+    await picker.pick('ledger', (), PickOptions(is_hedge=True))
+    assert len(prober.probed_ids) <= len(SUBSET_PROBES)
+
+
 async def test_full_failure_domain_leaves_requests_to_the_others():
     """Guards against a failure domain whose entries keep to their own servers.
 
