Let crowds come again, and record what they sent

Cause: at a load of 18 on 8 cores, cases 6 and 8 held, since the crowd came too slowly; record.txt told only what the entries held.

--- a/review/crowd_2.py
+++ b/review/crowd_2.py
@@ -10,6 +10,7 @@
 import contextlib
 import socket
 import sys
+import time
 
 from harness_2 import PlatformServerStandIn
 
@@ -17,8 +18,14 @@
 # entry takes little of an answer that is not read.
 RECEIVE_BUFFER_BYTES = 2304
 SEGMENT_BYTES = 536
+# A crowd process ends by itself if nobody ends it.
+LIFETIME_S = 120
+# How long a complete crowd stays; then its clients come again.
+STAY_S = 8
 # Of a body whose client stops short of its end.
 MISSING_BYTES = 10
+# Interval between clients that send requests; fewer would be refused.
+ANSWERS_INTERVAL_S = 0.005
 
 
 class LargeAnswerServer(PlatformServerStandIn):
@@ -47,7 +54,7 @@
     """Build pipelined safe requests, each with its own id."""
     return b''.join(
         b'GET /read/x HTTP/1.1\r\nHost: h.example\r\n'
-        b'X-Request-Id: crowd-%d-%d\r\nX-Deadline-Ms: 900\r\n\r\n'
+        b'X-Request-Id: crowd-%d-%d\r\nX-Deadline-Ms: 1500\r\n\r\n'
         % (client, number)
         for number in range(count)
     )
@@ -115,6 +122,17 @@
             while content := await loop.sock_recv(client, 65536):
                 self.read_bytes += len(content)
 
+    def describe(self):
+        """Return what the clients have sent and read."""
+        sent = f'{self._request_count} requests'
+        if self._upload_bytes:
+            sent_bytes = self._upload_bytes - self._missing_bytes
+            sent = f'{sent_bytes} of {self._upload_bytes} bytes of a body'
+        return (
+            f'crowd of {len(self.sockets)} clients: each sent {sent}, '
+            f'{self.read_bytes} bytes of answers read by all'
+        )
+
     def close(self):
         """Close all connections."""
         for task in self._readers:
@@ -123,34 +141,41 @@
             client.close()
 
 
-async def keep_crowding(address, client_count, options):
-    """Connect a crowd, and again whenever the entry has started anew."""
-    while True:
+async def keep_crowding(address, client_count, interval_s, options):
+    """Connect a crowd, again after some time or when the entry starts anew."""
+    ends_at = time.monotonic() + LIFETIME_S
+    while time.monotonic() < ends_at:
         crowd = Crowd(address, **options)
         try:
-            await crowd.grow(client_count, 0)
+            await crowd.grow(client_count, interval_s)
             # While the entry starts anew, connections are refused.
-            while True:
+            leaves_at = min(ends_at, time.monotonic() + STAY_S)
+            while time.monotonic() < leaves_at:
                 await asyncio.sleep(0.1)
                 _, writer = await asyncio.open_connection(*address)
                 writer.close()
         except OSError:
             await asyncio.sleep(0.1)
         finally:
+            if crowd.sockets:
+                print(crowd.describe(), flush=True)
             crowd.close()
 
 
 def main(ip, port, clients, kind, size, trouble):
     """Run a crowd until the process is ended."""
     has_trouble = trouble == '1'
+    interval_s = ANSWERS_INTERVAL_S
     options = {'request_count': int(size), 'reads': not has_trouble}
     if kind == 'bodies':
+        interval_s = 0
         options = {
             'upload_bytes': int(size),
             'missing_bytes': MISSING_BYTES if has_trouble else 0,
             'reads': True,
         }
-    asyncio.run(keep_crowding((ip, int(port)), int(clients), options))
+    address = (ip, int(port))
+    asyncio.run(keep_crowding(address, int(clients), interval_s, options))
 
 
 if __name__ == '__main__':
--- a/review/platform_2.py
+++ b/review/platform_2.py
@@ -12,6 +12,7 @@
 from harness_2 import configure, run_platform
 
 SERVERS = 9
+ROUTE_TIMEOUT_S = 1.5
 # Limits of the site's configuration.
 CLIENT_LIMITS = {
     'max-header-bytes': 16384,
@@ -26,7 +27,7 @@
 async def main(answer_bytes):
     servers = [LargeAnswerServer(f's{n}', answer_bytes) for n in range(SERVERS)]
     async with run_platform(*servers) as platform:
-        configure(platform, **CLIENT_LIMITS)
+        configure(platform, route_timeout_s=ROUTE_TIMEOUT_S, **CLIENT_LIMITS)
         print(platform.store_address, flush=True)
         for _ in range(LIFETIME_S):
             await asyncio.sleep(1)
