Show four faults with clients that don't behave, on small crowds

The crowds of test_uncontrolled_clients.py passed, because the parts of the memory that are left free covered what is not counted.

The new crowds have settings with which what grows with the number of connections and chunks is the larger part: 1,800 bodies of 2 kB that stop just short of their end (callers and entries), 800 clients with four unread answers of 30 kB, 150 clients that don't read with 200 descriptors, and 200 uploads in chunks of one byte. Crowds and bounds (memory-mb, max-fds, one ordinary request is answered) are fixed here.

--- a/tests/test_uncontrolled_clients.py
+++ b/tests/test_uncontrolled_clients.py
@@ -12,6 +12,7 @@
 import asyncio
 import itertools
 import os
+import socket
 from contextlib import asynccontextmanager, suppress
 from pathlib import Path
 
@@ -19,6 +20,8 @@
 
 from tests.entry_processes import (
     CALLER_PORT,
+    LOOKUP_PORT,
+    READINESS_PORT,
     run_entries,
     wait_until,
 )
@@ -55,6 +58,28 @@
 # All pipelined requests may run at once.
 SLOTS = 200
 PIECE = b'x' * (64 * 1024)
+# Crowds whose connections need more memory than their bytes.
+CONNECTIONS_MEMORY_MB = 80
+CONNECTIONS_DESCRIPTORS_MAX = 4100
+STALLED_CLIENTS = 1800
+STALLED_BODY_BYTES = 2000
+MISSING_BYTES = 10
+SMALL_ANSWER_CLIENTS = 800
+SMALL_ANSWER_REQUESTS = 4
+SMALL_ANSWER_BYTES = 30_000
+# More than 70% of the 200 descriptors that the settings leave for sockets.
+CROWDING_CLIENTS = 150
+CROWDING_REQUESTS = 6
+# A slow client: small windows and short segments, so that the kernel of the
+# entry takes little of an answer that is not read.
+SLOW_BUFFER_BYTES = 2304
+SLOW_SEGMENT_BYTES = 536
+UNREADING_INTERVAL_S = 0.005
+CHUNKING_CLIENTS = 200
+CHUNKS_PER_WRITE = 8192
+CHUNKING_PAUSE_S = 0.1
+# Time for all of them to send faster than the entry reads.
+CHUNKING_STARTS_S = 4
 # One client in this many completes its request.
 COMPLETE_EVERY = 8
 # Clients that the entry neither reads from nor refuses are left where they are.
@@ -62,11 +87,16 @@
 SAMPLE_S = 0.05
 ANSWER_S = 20
 
+ANSWER_BYTES_BY_TARGET = {
+    '/read/large': LARGE_ANSWER_BYTES,
+    '/read/small': SMALL_ANSWER_BYTES,
+}
+
 _request_numbers = itertools.count()
 
 
 class LargeAnswers(PlatformServerStandIn):
-    """Server with many slots, whose answers on one path are large."""
+    """Server with many slots, whose answers on some paths are large."""
 
     async def _respond(self, request):
         response = await super()._respond(request)
@@ -76,8 +106,9 @@
 
     async def _execute(self, request, load):
         response = await super()._execute(request, load)
-        if request.target == '/read/large':
-            return Response(200, response.headers, b'y' * LARGE_ANSWER_BYTES)
+        size = ANSWER_BYTES_BY_TARGET.get(request.target)
+        if size is not None:
+            return Response(200, response.headers, b'y' * size)
         return response
 
 
@@ -144,13 +175,17 @@
 
 @asynccontextmanager
 async def running_entry(
-    folder, *, memory_mb=MEMORY_MB, body_bytes=BODY_MAX_BYTES
+    folder,
+    *,
+    memory_mb=MEMORY_MB,
+    body_bytes=BODY_MAX_BYTES,
+    descriptors=DESCRIPTORS_MAX,
 ):
     """Run one entry process with two servers, and check it at the end.
 
     Yields a list of connections, which stay open until after the check.
     """
-    limits = f'max-fds = {DESCRIPTORS_MAX}\nmemory-mb = {memory_mb}'
+    limits = f'max-fds = {descriptors}\nmemory-mb = {memory_mb}'
     servers = [LargeAnswers('s1'), LargeAnswers('s2')]
     async with run_platform(*servers) as platform:
         platform.store.put(
@@ -182,12 +217,12 @@
                 f'{memory_mb} MB, resident '
                 f'{usage.resident_bytes / MEGABYTE:.0f}, unread '
                 f'{usage.unread_bytes / MEGABYTE:.0f}, '
-                f'{usage.descriptors} descriptors of {DESCRIPTORS_MAX}, '
+                f'{usage.descriptors} descriptors of {descriptors}, '
                 f'answered: {is_answered}, status: {entry.process.poll()}'
             )
             assert entry.process.poll() is None
             assert usage.memory_bytes <= memory_mb * MEGABYTE
-            assert usage.descriptors <= DESCRIPTORS_MAX
+            assert usage.descriptors <= descriptors
             assert is_answered
 
 
@@ -197,16 +232,26 @@
     return answer.startswith(b'HTTP/1.1 200')
 
 
-async def _is_answered():
+async def _is_answered(port=CALLER_PORT, target=b'/read/x'):
+    """Return whether a request on a new connection is answered."""
     try:
         answer = await asyncio.wait_for(
-            _exchange(CALLER_PORT, b'GET', b'/read/x', b''), ANSWER_S / 2
+            _exchange(port, b'GET', target, b''), ANSWER_S / 2
         )
     except (OSError, TimeoutError):
         return False
     return answer.startswith(b'HTTP/1.1 200')
 
 
+async def _is_ready():
+    return await _is_answered(READINESS_PORT, b'/copperyard/readiness')
+
+
+async def _is_looked_up():
+    target = b'/copperyard/lookup?name=h.example&region=r&zone=a'
+    return await _is_answered(LOOKUP_PORT, target)
+
+
 async def _exchange(port, method, target, body):
     reader, writer = await asyncio.open_connection(IP, port)
     try:
@@ -311,6 +356,57 @@
         yield encode_head(b'GET', b'/read/large')
 
 
+def list_stalled_body_parts(number):
+    """Return a request whose body stops just short of its end."""
+    length = b'Content-Length: %d' % STALLED_BODY_BYTES
+    yield encode_head(b'POST', b'/write/x', length)
+    yield bytes(STALLED_BODY_BYTES - MISSING_BYTES)
+
+
+async def run_unreading_crowd(connections, count, request_count):
+    """Let slow clients send pipelined requests whose answers they don't read.
+
+    :param connections: receives the connections of the clients.
+    :param count: number of clients.
+    :param request_count: requests of each of them.
+    """
+    for _ in range(count):
+        client = socket.socket()
+        client.setblocking(False)
+        client.setsockopt(
+            socket.SOL_SOCKET, socket.SO_RCVBUF, SLOW_BUFFER_BYTES
+        )
+        client.setsockopt(
+            socket.IPPROTO_TCP, socket.TCP_MAXSEG, SLOW_SEGMENT_BYTES
+        )
+        loop = asyncio.get_running_loop()
+        await loop.sock_connect(client, (IP, CALLER_PORT))
+        with suppress(OSError):
+            # The reader pauses as soon as it has received anything.
+            _, writer = await asyncio.open_connection(sock=client, limit=1)
+            connections.append(writer)
+            for _ in range(request_count):
+                writer.write(encode_head(b'GET', b'/read/small'))
+        # Fewer of their requests are refused by the servers.
+        await asyncio.sleep(UNREADING_INTERVAL_S)
+    await asyncio.sleep(1)
+
+
+async def keep_sending_tiny_chunks(connections):
+    """Upload bodies in chunks of one byte, again after each refusal."""
+    content = b'1\r\nx\r\n' * CHUNKS_PER_WRITE
+    while True:
+        with suppress(OSError):
+            _, writer = await asyncio.open_connection(IP, CALLER_PORT)
+            connections.append(writer)
+            coding = b'Transfer-Encoding: chunked'
+            writer.write(encode_head(b'POST', b'/write/x', coding))
+            for _ in range(BODY_MAX_BYTES // CHUNKS_PER_WRITE):
+                writer.write(content)
+                await writer.drain()
+        await asyncio.sleep(CHUNKING_PAUSE_S)
+
+
 each_port = pytest.mark.parametrize('port', [CALLER_PORT, ENTRY_PORT])
 
 
@@ -376,3 +472,68 @@
             CALLER_PORT, b'POST', b'/write/x', bytes(LARGEST_BODY_BYTES)
         )
         assert answer.startswith(b'HTTP/1.1 200')
+
+
+@each_port
+async def test_many_connections_with_stalled_bodies(tmp_path, port):
+    """Guards against memory that connections need beyond their bodies.
+
+    Each connection has its objects and parser, and once kept its last read.
+    """
+    async with running_entry(
+        tmp_path,
+        memory_mb=CONNECTIONS_MEMORY_MB,
+        descriptors=CONNECTIONS_DESCRIPTORS_MAX,
+    ) as connections:
+        await run_crowd(
+            connections, STALLED_CLIENTS, port, list_stalled_body_parts
+        )
+
+
+async def test_many_connections_with_unread_answers(tmp_path):
+    """Guards against answers that are held more often than they count.
+
+    An answer was held as its body, joined with its head, and as what the
+    kernel had not taken.
+    """
+    async with running_entry(
+        tmp_path,
+        memory_mb=CONNECTIONS_MEMORY_MB,
+        descriptors=CONNECTIONS_DESCRIPTORS_MAX,
+    ) as connections:
+        await run_unreading_crowd(
+            connections, SMALL_ANSWER_CLIENTS, SMALL_ANSWER_REQUESTS
+        )
+
+
+async def test_unread_answers_leave_descriptors_to_others(tmp_path):
+    """Guards against connections that stay for as long as nobody reads.
+
+    Once they were most of the permitted ones, each new one was closed, also
+    those for look-ups and readiness.
+    """
+    async with running_entry(tmp_path, memory_mb=SMALL_ENTRY_MB) as connections:
+        await run_unreading_crowd(
+            connections, CROWDING_CLIENTS, CROWDING_REQUESTS
+        )
+        assert await wait_until(_is_ready, ANSWER_S)
+        assert await wait_until(_is_looked_up, ANSWER_S)
+
+
+async def test_tiny_chunks_leave_time_to_others(tmp_path):
+    """Guards against uploads whose parsing takes all the time there is.
+
+    Each connection parsed 64 KiB in a turn, however many chunks that were.
+    """
+    async with running_entry(tmp_path, memory_mb=SMALL_ENTRY_MB) as connections:
+        senders = [
+            asyncio.create_task(keep_sending_tiny_chunks(connections))
+            for _ in range(CHUNKING_CLIENTS)
+        ]
+        await asyncio.sleep(CHUNKING_STARTS_S)
+        try:
+            assert await wait_until(_is_answered, ANSWER_S)
+        finally:
+            for sender in senders:
+                sender.cancel()
+            await asyncio.gather(*senders, return_exceptions=True)
