Count what connections need, and measure what nobody counts

Cause: the account reserved the bytes of bodies only. A connection and its parser were not in it, and the last read, up to 64 KB, stayed in a variable while the next one was awaited. With thousands of connections this is more than the parts of the memory that are left free.

Now each connection of callers, entries and servers counts 40 KiB, and what one read may bring; half of the limit is for connections at most, and then room is made as for lack of descriptors. No variable keeps a read. Since the next crowd may need memory elsewhere, the resident memory is compared with the settings: above 0.8 of memory-mb, only tiny requests get any, and connections without progress are closed until it is below.

The listeners get a module of their own, each with a guaranteed part of the connections, and a new connection makes room before it is added. (By reading: it was idle itself, so it was the one that was closed, and slow ones stayed.)

--- a/copperyard/caller_connections.py
+++ b/copperyard/caller_connections.py
@@ -143,11 +143,12 @@
         self._scope = anyio.CancelScope()
         # Whether it is about to be closed after a refusal.
         self.is_refused = False
+        self.is_dropped = False
         self._pending_responses: deque[_PendingResponse] = deque()
         self._response_enqueued = anyio.Event()
         self._response_sent = anyio.Event()
         self._is_reading = True
-        self._is_ending = False
+        self.is_ending = False
         self._receive_scope = anyio.CancelScope()
         # Time at which bytes were last received or a response was sent.
         self._last_active_at = callbacks.clock()
@@ -169,9 +170,9 @@
 
         :returns: whether the connection is now being closed.
         """
-        if self._is_ending or not self.is_idle:
+        if self.is_ending or not self.is_idle:
             return False
-        self._is_ending = True
+        self.is_ending = True
         self._receive_scope.cancel()
         return True
 
@@ -225,7 +226,7 @@
     def abort(self) -> None:
         """Close the connection at once."""
         self._scope.cancel()
-        self.is_refused = False
+        self.is_dropped = True
 
     async def run(self) -> None:
         """Serve the connection until either side closes it."""
@@ -253,19 +254,23 @@
 
     async def _read(self, group: anyio.abc.TaskGroup) -> None:
         while self._is_reading:
-            content = await self._receive_bytes()
-            if content is None:
+            # A variable here would keep these bytes until the next ones.
+            if not await self._process_bytes(
+                await self._receive_bytes(), group
+            ):
                 group.cancel_scope.cancel()
                 return
-            await self._process_bytes(content, group)
             await self._reserve_memory()
             await self._send_continue()
         await self._wait_for_disconnect(group)
 
     async def _process_bytes(
-        self, content: bytes, group: anyio.abc.TaskGroup
-    ) -> None:
+        self, content: bytes | None, group: anyio.abc.TaskGroup
+    ) -> bool:
+        """Parse received bytes and return whether the caller is connected."""
         reader = self._reader
+        if content is None:
+            return False
         if content:
             reader.feed(content)
         else:
@@ -277,6 +282,7 @@
         if reader.refusal is not None and self._is_reading:
             self._refuse(reader.refusal)
             self._is_reading = False
+        return True
 
     async def _reserve_memory(self) -> None:
         """Wait until there is memory for the next bytes, or refuse them."""
@@ -302,12 +308,12 @@
             expires.
         """
         timeout_s = self._find_receive_timeout_s()
-        while timeout_s > 0 and not (self._is_ending and self.is_idle):
+        while timeout_s > 0 and not (self.is_ending and self.is_idle):
             content = await self._receive_within(timeout_s)
             if content != b'':
                 return content
             timeout_s = self._find_receive_timeout_s()
-        if self._is_ending and self.is_idle:
+        if self.is_ending and self.is_idle:
             return await self._receive_within(LAST_READ_S) or None
         return b'' if self._reader.is_in_head else None
 
--- a/copperyard/connections.py
+++ b/copperyard/connections.py
@@ -45,6 +45,8 @@
         self.max_idle_s = IDLE_MAX_S
         # Bytes written and read since it was last returned to the pool.
         self.transferred_bytes = 0
+        # What the pool counts for it.
+        self.cost_bytes = 0
         host, port = split_address(server.address)
         self._peer = (host, port)
         self._socket = socket.socket(
@@ -297,6 +299,7 @@
         size = self.memory.find_receive_buffer(self._connection_count)
         if size is not None:
             connection.set_receive_buffer(size)
+        connection.cost_bytes = self.memory.open_connection(size)
         connections.add(connection)
         return connection
 
@@ -332,6 +335,7 @@
         opened = self._connections_by_server.get(server_id, set())
         if connection in opened:
             self._connection_count -= 1
+            self.memory.close_connection(connection.cost_bytes)
         opened.discard(connection)
         if not opened:
             self._connections_by_server.pop(server_id, None)
--- a/copperyard/entry.py
+++ b/copperyard/entry.py
@@ -6,7 +6,6 @@
 import sys
 from collections.abc import AsyncIterator
 from contextlib import AsyncExitStack
-from dataclasses import replace
 from functools import partial
 from pathlib import Path
 from random import Random
@@ -14,37 +13,26 @@
 
 import anyio
 from anyio.abc import (
-    AsyncResource,
-    SocketStream,
     TaskGroup,
 )
 from returns.result import Failure
 
 from copperyard.allowances.requests import AllowanceTaker
 from copperyard.bounded_logs import BoundedLogHandler
-from copperyard.caller_connections import (
-    CallerConnection,
-    ListenerCallbacks,
-)
 from copperyard.crash_checks import CrashChecker
 from copperyard.dispatching import Dispatcher
 from copperyard.drains import plan_drain
 from copperyard.entry_api import EntryApi
 from copperyard.entry_board import EntryBoard
+from copperyard.entry_listeners import EntryListeners
 from copperyard.entry_peers import EntryPeers
 from copperyard.entry_settings import EntrySettings
 from copperyard.exchanges import BackendPool
 from copperyard.fault_barriers import FaultBarrier, run_controller
 from copperyard.link_controller import LinkController
-from copperyard.listeners import (
-    accept_connections,
-    bound_receiving,
-    bound_waiting,
-)
 from copperyard.load_probing import LoadProber
 from copperyard.logs import configure_logs, log_event
 from copperyard.memory.allocator import bound_kept_memory
-from copperyard.memory.memory_account import HolderKind
 from copperyard.memory.process_memory import ProcessMemory
 from copperyard.message_formats import log_build
 from copperyard.metrics import Metrics
@@ -56,7 +44,6 @@
     load_entry_settings,
 )
 from copperyard.rollouts.controller import RolloutController
-from copperyard.settings import split_address
 from copperyard.settings_reloader import SettingsReloader
 from copperyard.signal_mask import block_signals
 from copperyard.signals import receive_signals
@@ -68,22 +55,12 @@
 from copperyard.store_poller import StorePoller
 from copperyard.store_replica import StoreReplica
 
-# Must match the port in the deployment file.
-METRICS_PORT: Final = 9100
 # Interval between checks for idle connections while draining; short compared
 # with the grace time of some seconds.
 DRAIN_POLL_INTERVAL_S: Final = 0.05
 # Interval between checks for idle connections to backend servers and streamed
 # responses that have expired; their timeouts are some seconds.
 EXPIRY_CHECK_INTERVAL_S: Final = 1.0
-# Share of the descriptors for callers; the others are for connections to
-# backend servers and other entries.
-CALLER_DESCRIPTORS_SHARE: Final = 0.6
-# Connections whose request was refused stay open until callers have read it,
-# up to this multiple of the share.
-REFUSED_CONNECTIONS_FACTOR: Final = 1.1
-# Share of the descriptors above which a new connection is closed unserved.
-CONNECTIONS_MAX_SHARE: Final = 0.7
 # Share of the descriptors for connections to backend servers and other entries.
 SERVER_DESCRIPTORS_SHARE: Final = 0.3
 
@@ -105,7 +82,10 @@
         self.board.entry_ips = frozenset((settings.ip,))
         self._random = Random()
         self._memory = ProcessMemory(
-            settings.memory_bytes, self.board.metrics, self.board.clock
+            settings.memory_bytes,
+            self.board.metrics,
+            self.board.clock,
+            limits=settings.clients,
         )
         self._pool = BackendPool(self.board.clock, memory=self._memory)
         if self._memory.is_limited:
@@ -127,8 +107,8 @@
             self._random,
         )
         self._allowances = AllowanceTaker(self.board, self._peers, self._random)
-        self._connections: set[CallerConnection] = set()
-        self._listeners: list[AsyncResource] = []
+        self._listeners = EntryListeners(self.board, self._memory)
+        self._connections = self._listeners.connections
         self._stop_requested = anyio.Event()
         # When the first stop signal arrived, ``CLOCK_BOOTTIME`` in seconds.
         self._stopped_at = math.inf
@@ -156,7 +136,7 @@
             group.start_soon(
                 run_controller, api.keys.run, 'keys', self.board.metrics
             )
-            await self._listen(group, api)
+            await self._listeners.open(group, api)
             poller = self._start_controllers(group)
             log_build()
             log_event('started', entry=settings.entry_id)
@@ -237,100 +217,6 @@
         )
         return poller
 
-    async def _listen(self, group: TaskGroup, api: EntryApi) -> None:
-        settings = self.board.settings
-        handlers_by_address = {
-            settings.caller_address: api.serve_caller,
-            settings.lookup_address: api.serve_lookup,
-            settings.readiness_address: api.serve_readiness,
-            f'{settings.ip}:{settings.entry_port}': api.serve_entry,
-            f'{settings.ip}:{METRICS_PORT}': api.serve_metrics,
-        }
-        for address, handler in handlers_by_address.items():
-            callbacks = ListenerCallbacks(
-                handler,
-                api.find_limits,
-                self._is_leaving,
-                self.board.clock,
-                api.record_refusal,
-                self.board.metrics,
-                memory=self._memory,
-            )
-            if handler == api.serve_entry:
-                callbacks = replace(
-                    callbacks,
-                    find_limits=api.find_entry_limits,
-                    build_refusal=api.build_entry_refusal,
-                    holder_kind=HolderKind.FORWARDED,
-                )
-            host, port = split_address(address)
-            listener = await anyio.create_tcp_listener(
-                local_host=host,
-                local_port=port,
-            )
-            if self._memory.is_limited:
-                bound_waiting(listener)
-            self._listeners.append(listener)
-            group.start_soon(
-                accept_connections,
-                listener,
-                partial(self._serve_connection, callbacks),
-                group,
-                self.board.metrics,
-            )
-
-    async def _serve_connection(
-        self, callbacks: ListenerCallbacks, stream: SocketStream
-    ) -> None:
-        if self._has_too_many_connections():
-            # Accepted faster than others can be refused.
-            self.board.metrics.count('caller.closed_for_room')
-            await stream.aclose()
-            return
-        connection = CallerConnection(stream, callbacks)
-        self._connections.add(connection)
-        self._limit_connections()
-        size = self._memory.find_receive_buffer(len(self._connections))
-        if size is not None:
-            bound_receiving(stream, size)
-        try:
-            await connection.run()
-        finally:
-            self._connections.discard(connection)
-
-    def _has_too_many_connections(self) -> bool:
-        limit = CONNECTIONS_MAX_SHARE * self.board.settings.max_descriptors
-        return self._memory.is_limited and len(self._connections) >= limit
-
-    def _limit_connections(self) -> None:
-        """Close a connection if there are too many."""
-        limit = CALLER_DESCRIPTORS_SHARE * self.board.settings.max_descriptors
-        if len(self._connections) <= limit:
-            return
-        for connection in self._connections:
-            if connection.close_if_idle():
-                self.board.metrics.count('caller.closed_for_room')
-                return
-        if self._memory.is_limited:
-            self._refuse_connection(REFUSED_CONNECTIONS_FACTOR * limit)
-
-    def _refuse_connection(self, refused_max: float) -> None:
-        """Refuse the request that has made no progress for longest."""
-        if len(self._connections) > refused_max:
-            # Refused callers did not have time to read why.
-            for connection in self._connections:
-                if connection.is_refused:
-                    connection.abort()
-                    return
-        reading = [it for it in self._connections if it.is_reading_request]
-        if reading:
-            slowest = min(reading, key=CallerConnection.find_progress_at)
-            slowest.refuse_for_room()
-            self.board.metrics.count('caller.refused_for_room')
-
-    def _is_leaving(self) -> bool:
-        return self.board.is_leaving
-
     async def _close_expired(self) -> None:
         while True:
             await anyio.sleep(EXPIRY_CHECK_INTERVAL_S)
@@ -369,8 +255,7 @@
         await anyio.sleep(max(0.0, drain.accepts_until - board.clock()))
         # The kernel completes connections for as long as a listener is open,
         # also while the process ends and nobody serves them.
-        for listener in self._listeners:
-            await listener.aclose()
+        await self._listeners.close()
         await self._close_idle(drain.ends_at)
         dispatcher.stop()
         for connection in tuple(self._connections):
--- a/copperyard/entry_settings.py
+++ b/copperyard/entry_settings.py
@@ -2,6 +2,8 @@
 
 from dataclasses import dataclass
 
+from copperyard.clients.client_limits import ClientLimits
+
 
 @dataclass(frozen=True, slots=True)
 class QuotaBounds:
@@ -93,6 +95,7 @@
     :param bounds: limits that the platform sets for all entries.
     :param memory_bytes: memory that the process may use; ``None`` if unknown.
     :param capacity: what this VM can process; ``None`` if unknown.
+    :param clients: limits on clients.
     :param is_spillover_enabled: whether requests may leave their failure domain
         by shares.
     :param price_per_gb: price of a GB (10^9 bytes) between failure domains, as
@@ -113,5 +116,6 @@
     bounds: EntryBounds
     memory_bytes: int | None = None
     capacity: EntryCapacity | None = None
+    clients: ClientLimits = ClientLimits()
     is_spillover_enabled: bool = False
     price_per_gb: float | None = None
--- a/copperyard/memory/memory_account.py
+++ b/copperyard/memory/memory_account.py
@@ -5,6 +5,7 @@
 reading of a connection, and is granted or refused later.
 """
 
+import math
 from collections import Counter
 from dataclasses import dataclass
 from enum import StrEnum
@@ -25,6 +26,11 @@
 # second, crowds of 450 connections needed up to 131 MB of 120 MB.
 KERNEL_SHARE: Final = 1 / 8
 MARGIN_SHARE: Final = 1 / 5
+# Memory of a connection beyond the bytes of its requests and answers: its
+# objects and tasks, its parser, and the bytes that wait to be written.
+CONNECTION_COST_BYTES: Final = 40 * 1024
+# Part of the limit that the costs of connections may take.
+CONNECTIONS_SHARE: Final = 0.5
 # Holders may have this much in any case, since an entry without it serves
 # nobody.
 LIMIT_MIN_BYTES: Final = 4 * 1024 * 1024
@@ -53,6 +59,9 @@
 # The same for answers that a caller does not read. Links are cut for several
 # seconds at a time, and dropped answers belong to requests that have run.
 ANSWER_PROGRESS_TIMEOUT_S: Final = 8.0
+# The same while the process itself is larger than it should be, for whatever
+# reason. An answer has then been tried, and a body has had its time to arrive.
+URGENT_PROGRESS_TIMEOUT_S: Final = 1.0
 
 
 class HolderKind(StrEnum):
@@ -101,14 +110,17 @@
     progressed_at: float
     is_body: bool
 
-    def is_stalled(self, now: float) -> bool:
+    def is_stalled(self, now: float, *, is_urgent: bool = False) -> bool:
         """Return whether it makes no progress and holds more than a little.
 
         :param now: current time in seconds.
+        :param is_urgent: whether the process itself is too large.
         """
         timeout_s = ANSWER_PROGRESS_TIMEOUT_S
         if self.is_body:
             timeout_s = BODY_PROGRESS_TIMEOUT_S
+        if is_urgent:
+            timeout_s = URGENT_PROGRESS_TIMEOUT_S
         return self.held_bytes > 0 and now - self.progressed_at >= timeout_s
 
 
@@ -141,13 +153,19 @@
 class MemoryAccount:
     """Account of held bytes.
 
-    :param limit_bytes: what all holders together may hold; ``None`` for no
-        limit.
+    :param limit_bytes: what all holders and connections together may hold;
+        ``None`` for no limit.
+    :ivar connection_bytes: what the connections take beyond what is held for
+        their requests and answers.
+    :ivar excess_bytes: by how much the process is larger than it should be,
+        as measured; only tiny holders get anything then.
     """
 
     def __init__(self, limit_bytes: int | None) -> None:
         self.limit_bytes = limit_bytes
         self.held_bytes = 0
+        self.connection_bytes = 0
+        self.excess_bytes = 0
         self.held_by_kind: Counter[HolderKind] = Counter()
         self._held_by_caller: Counter[str] = Counter()
         self._waiting: dict[Holder, None] = {}
@@ -164,11 +182,22 @@
 
         :param now: current time in seconds.
         """
-        return bool(self._waiting) or now < self._denied_until
+        return (
+            bool(self._waiting or self.excess_bytes) or now < self._denied_until
+        )
 
     def find_wanted_bytes(self) -> int:
-        """Return what the smallest waiting holder is waiting for."""
-        return min((holder.wanted_bytes for holder in self._waiting), default=0)
+        """Return what the smallest waiting holder or the process needs."""
+        wanted_bytes = min(
+            (holder.wanted_bytes for holder in self._waiting), default=0
+        )
+        return max(wanted_bytes, self.excess_bytes)
+
+    def find_connections_max(self) -> float:
+        """Return how many connections there is memory for."""
+        if self.limit_bytes is None:
+            return math.inf
+        return CONNECTIONS_SHARE * self.limit_bytes / CONNECTION_COST_BYTES
 
     def find_unsent_max(self) -> int | None:
         """Return how many bytes of answers a connection may leave unsent.
@@ -177,7 +206,7 @@
         """
         if self.limit_bytes is None:
             return None
-        free_bytes = self.limit_bytes - self.held_bytes
+        free_bytes = self.limit_bytes - self.held_bytes - self.connection_bytes
         return max(SMALL_BYTES, int(UNSENT_SHARE * free_bytes))
 
     def try_reserve(self, holder: Holder, amount: int) -> bool:
@@ -279,8 +308,11 @@
         return refused
 
     def _fits(self, holder: Holder, amount: int, limit_bytes: int) -> bool:
-        free_bytes = limit_bytes - self.held_bytes - amount
+        taken_bytes = self.held_bytes + self.connection_bytes
+        free_bytes = limit_bytes - taken_bytes - amount
         total = holder.held_bytes + amount
+        if self.excess_bytes and total > TINY_BYTES:
+            return False
         if total <= TINY_BYTES or self.held_bytes == holder.held_bytes:
             return free_bytes >= 0
         if total <= SMALL_BYTES:
@@ -295,17 +327,26 @@
 
 
 def choose_dropped(
-    usages: list[ConnectionUsage], wanted_bytes: int, now: float
+    usages: list[ConnectionUsage],
+    wanted_bytes: int,
+    now: float,
+    *,
+    is_urgent: bool = False,
 ) -> list[int]:
     """Choose connections that make no progress, largest first.
 
     :param usages: what each connection holds.
     :param wanted_bytes: bytes that are to become free.
     :param now: current time in seconds.
+    :param is_urgent: whether the process itself is too large.
     :returns: positions of the chosen connections.
     """
     stalled = sorted(
-        (index for index, usage in enumerate(usages) if usage.is_stalled(now)),
+        (
+            index
+            for index, usage in enumerate(usages)
+            if usage.is_stalled(now, is_urgent=is_urgent)
+        ),
         key=lambda index: usages[index].held_bytes,
         reverse=True,
     )
--- a/copperyard/memory/process_memory.py
+++ b/copperyard/memory/process_memory.py
@@ -8,10 +8,14 @@
 
 import anyio
 
+from copperyard.clients.client_limits import ClientLimits
+from copperyard.clients.limit_log import LimitLog
 from copperyard.clock import seconds_since_boot
 from copperyard.logs import log_event
 from copperyard.memory.allocator import trim_heap
 from copperyard.memory.memory_account import (
+    CONNECTION_COST_BYTES,
+    LIMIT_MIN_BYTES,
     SMALL_BYTES,
     ConnectionUsage,
     Holder,
@@ -37,6 +41,11 @@
 # What the process itself needs is measured while holders have less than this
 # part of their limit, since freed memory returns to the kernel with a delay.
 _QUIET_SHARE: Final = 1 / 32
+# The resident memory is read at each check while holders and connections have
+# more than this part of their limit.
+_WATCHED_SHARE: Final = 1 / 4
+# Shortest time between two attempts to return free memory to the kernel.
+TRIM_INTERVAL_S: Final = 1.0
 _STATM: Final = Path('/proc/self/statm')
 
 
@@ -64,6 +73,7 @@
     :param metrics: counters of the process.
     :param clock: returns ``CLOCK_BOOTTIME`` in seconds.
     :param read_resident: returns the resident memory of the process.
+    :param limits: share of its memory above which the process takes no bodies.
     """
 
     def __init__(
@@ -72,13 +82,19 @@
         metrics: Metrics | None = None,
         clock: Callable[[], float] = seconds_since_boot,
         read_resident: Callable[[], int] = read_resident_bytes,
+        limits: ClientLimits | None = None,
     ) -> None:
         self.account = MemoryAccount(None)
         self._memory_bytes = memory_bytes
         self._metrics = metrics or Metrics()
         self._clock = clock
         self._read_resident = read_resident
+        self._limits = limits or ClientLimits()
+        self._limit_log = LimitLog(self._metrics, clock)
         self._base_at = clock()
+        self._base_bytes = 0
+        self._measured_at = clock()
+        self._trimmed_at = clock()
         # Resident memory when the heap was last trimmed.
         self._trimmed_bytes = 0
         self._granted_by_holder: dict[Holder, anyio.Event] = {}
@@ -86,9 +102,9 @@
         self._episode_count = 0
         self._refused_at = 0.0
         if memory_bytes is not None:
-            self._trimmed_bytes = read_resident()
+            self._base_bytes = self._trimmed_bytes = read_resident()
             self.account.limit_bytes = compute_limit(
-                memory_bytes, self._trimmed_bytes
+                memory_bytes, self._base_bytes
             )
 
     @property
@@ -149,6 +165,23 @@
         self.account.stop_waiting(holder)
         self.release(holder, holder.held_bytes)
 
+    def open_connection(self, read_bytes: int | None) -> int:
+        """Count a connection.
+
+        :param read_bytes: the most that is read from it at once, if bounded.
+        :returns: what it counts, for ``close_connection``.
+        """
+        cost_bytes = CONNECTION_COST_BYTES + min(SMALL_BYTES, read_bytes or 0)
+        self.account.connection_bytes += cost_bytes
+        return cost_bytes
+
+    def close_connection(self, cost_bytes: int) -> None:
+        """Stop counting a connection.
+
+        :param cost_bytes: what ``open_connection`` returned.
+        """
+        self.account.connection_bytes -= cost_bytes
+
     def find_receive_buffer(self, connection_count: int) -> int | None:
         """Return the size of the receive buffer of a further connection.
 
@@ -182,6 +215,7 @@
         :param list_users: as for ``run``.
         """
         now = self._clock()
+        self._measure(now)
         if self.account.is_short(now):
             for refused in self.account.refuse_waiting(now):
                 self._granted_by_holder.pop(refused).set()
@@ -204,7 +238,12 @@
                 add_labels('memory.held_bytes', holder=kind.value),
                 self.account.held_by_kind[kind],
             )
-        self._metrics.gauge('memory.limit_bytes', self.account.limit_bytes or 0)
+        for name, size in (
+            ('memory.limit_bytes', self.account.limit_bytes or 0),
+            ('memory.connection_bytes', self.account.connection_bytes),
+            ('memory.excess_bytes', self.account.excess_bytes),
+        ):
+            self._metrics.gauge(name, size)
         self._metrics.gauge('memory.waiting', self.account.waiting_count)
 
     def _drop_stalled(
@@ -218,10 +257,49 @@
                 users.append(user)
                 usages.append(usage)
         wanted_bytes = max(SMALL_BYTES, self.account.find_wanted_bytes())
-        for index in choose_dropped(usages, wanted_bytes, now):
+        is_urgent = self.account.excess_bytes > 0
+        for index in choose_dropped(
+            usages, wanted_bytes, now, is_urgent=is_urgent
+        ):
             self._metrics.count('memory.dropped')
             users[index].drop()
 
+    def _measure(self, now: float) -> None:
+        """Measure by how much the process is larger than it should be.
+
+        What no holder reserves is found in this way, whatever it is.
+        """
+        account = self.account
+        if self._memory_bytes is None or account.limit_bytes is None:
+            return
+        taken_bytes = account.held_bytes + account.connection_bytes
+        is_watched = taken_bytes > _WATCHED_SHARE * account.limit_bytes
+        is_due = now - self._measured_at >= BASE_INTERVAL_S
+        if not (is_watched or account.excess_bytes or is_due):
+            return
+        self._measured_at = now
+        # A process whose base is large still has the least limit.
+        allowed_bytes = max(
+            int(self._limits.pressure_share * self._memory_bytes),
+            self._base_bytes + LIMIT_MIN_BYTES,
+        )
+        resident_bytes = self._read_resident()
+        if (
+            resident_bytes > allowed_bytes
+            and now - self._trimmed_at >= TRIM_INTERVAL_S
+        ):
+            self._trimmed_at = now
+            trim_heap()
+            resident_bytes = self._read_resident()
+        self._record_excess(max(0, resident_bytes - allowed_bytes))
+
+    def _record_excess(self, excess_bytes: int) -> None:
+        if excess_bytes and not self.account.excess_bytes:
+            self._limit_log.record(
+                'pressure-share', excess_bytes=excess_bytes, **self._describe()
+            )
+        self.account.excess_bytes = excess_bytes
+
     def _update_limit(self) -> None:
         account = self.account
         if self._memory_bytes is None or account.limit_bytes is None:
@@ -232,13 +310,17 @@
         if resident_bytes > self._trimmed_bytes + TRIM_MIN_BYTES:
             trim_heap()
             resident_bytes = self._trimmed_bytes = self._read_resident()
+        self._base_bytes = (
+            resident_bytes - account.held_bytes - account.connection_bytes
+        )
         account.limit_bytes = compute_limit(
-            self._memory_bytes, resident_bytes - account.held_bytes
+            self._memory_bytes, self._base_bytes
         )
 
     def _describe(self) -> dict[str, int]:
         return {
             'held_bytes': self.account.held_bytes,
+            'connection_bytes': self.account.connection_bytes,
             'limit_bytes': self.account.limit_bytes or 0,
             'waiting': self.account.waiting_count,
         }
--- a/copperyard/platform/settings.py
+++ b/copperyard/platform/settings.py
@@ -1,11 +1,14 @@
 """Decodes the settings file of the platform into ``EntrySettings``."""
 
+from collections.abc import Mapping
 from pathlib import Path
+from types import MappingProxyType
 from typing import Annotated, Any, Final
 
 import msgspec
 from returns.result import Failure, Result, Success
 
+from copperyard.clients.client_limits import ClientLimits
 from copperyard.entry_settings import (
     EntryBounds,
     EntryCapacity,
@@ -30,7 +33,14 @@
 _Descriptors = Annotated[int, msgspec.Meta(ge=1, le=_DESCRIPTORS_MAX)]
 _Bound = Annotated[float, msgspec.Meta(ge=0, le=_BOUND_MAX)]
 _Memory = Annotated[float, msgspec.Meta(gt=0, le=_BOUND_MAX)]
+_Share = Annotated[float, msgspec.Meta(gt=0, lt=1)]
 _Window = Annotated[float, msgspec.Meta(ge=_WINDOW_MIN_S, le=_BOUND_MAX)]
+_CLIENT_FIELDS: Final[Mapping[str, Any]] = MappingProxyType(
+    {
+        'connections_share': _Share,
+        'pressure_share': _Share,
+    }
+)
 
 
 def load_entry_settings(path: Path) -> Result[EntrySettings, SettingsError]:
@@ -83,6 +93,7 @@
         bounds=_read_bounds(reader),
         memory_bytes=_read_memory_bytes(reader),
         capacity=_read_capacity(reader),
+        clients=_read_clients(reader),
         is_spillover_enabled=bool(
             reader.read('spillover.enabled', bool | None, None)
         ),
@@ -152,3 +163,17 @@
         * reader.read('limits.cpu-cores', _Bound, 1.0),
         reader.read('limits.bandwidth-mbps', _Bound, 0.0),
     )
+
+
+def _read_clients(reader: FieldReader) -> ClientLimits:
+    read: dict[str, Any] = {
+        name: reader.read(
+            'clients.{key}'.format(key=name.replace('_', '-')),
+            value_type | None,
+            None,
+        )
+        for name, value_type in _CLIENT_FIELDS.items()
+    }
+    return ClientLimits(
+        **{name: value for name, value in read.items() if value is not None}
+    )
--- a/copperyard/settings_reloader.py
+++ b/copperyard/settings_reloader.py
@@ -107,6 +107,7 @@
         'readiness_address',
         'entry_port',
         'store_address',
+        'clients',
     )
     return {
         name: getattr(running, name)
--- a/tests/test_memory_account.py
+++ b/tests/test_memory_account.py
@@ -14,6 +14,7 @@
     ANSWER_PROGRESS_TIMEOUT_S,
     BODY_PROGRESS_TIMEOUT_S,
     CALLER_SHARE,
+    CONNECTION_COST_BYTES,
     DENIAL_S,
     KERNEL_SHARE,
     LIMIT_MIN_BYTES,
@@ -22,6 +23,7 @@
     SMALL_BYTES,
     STALL_S,
     TINY_BYTES,
+    URGENT_PROGRESS_TIMEOUT_S,
     WAIT_MAX_S,
     ConnectionUsage,
     Holder,
@@ -165,6 +167,31 @@
     assert choose_dropped(usages, 4 * MIB, ANSWER_PROGRESS_TIMEOUT_S) == [2]
 
 
+def test_costs_of_connections_reduce_what_is_free():
+    """Guards against connections that take memory beside the account."""
+    account = MemoryAccount(LIMIT)
+    account.connection_bytes = LIMIT // 2
+    assert not account.try_reserve(build_holder(), LIMIT // 2 + 1)
+    assert account.find_unsent_max() <= LIMIT / 16
+    assert account.try_reserve(build_holder(), LIMIT // 4)
+    costs = account.find_connections_max() * CONNECTION_COST_BYTES
+    assert costs <= LIMIT / 2
+
+
+def test_only_tiny_holders_fit_while_the_process_is_too_large():
+    """Guards against what nobody counts: the process is measured, too."""
+    account = MemoryAccount(LIMIT)
+    account.excess_bytes = MIB
+    assert account.is_short(0.0)
+    assert account.find_wanted_bytes() == MIB
+    assert account.try_reserve(build_holder(), TINY_BYTES)
+    assert not account.try_reserve(build_holder(), TINY_BYTES + 1)
+    usages = [ConnectionUsage(MIB, 0.0, is_body=False)]
+    now = URGENT_PROGRESS_TIMEOUT_S
+    assert choose_dropped(usages, MIB, now) == []
+    assert choose_dropped(usages, MIB, now, is_urgent=True) == [0]
+
+
 def test_unsent_answers_leave_memory_free_whatever_their_number():
     """Guards against callers that do not read and take all memory together."""
     account = MemoryAccount(LIMIT)
--- a/tests/test_platform_records.py
+++ b/tests/test_platform_records.py
@@ -10,6 +10,7 @@
 from hypothesis import strategies as st
 from returns.result import Failure, Success
 
+from copperyard.clients.client_limits import ClientLimits
 from copperyard.clock import seconds_since_boot
 from copperyard.entry_messages import (
     ServerUpdate,
@@ -378,9 +379,20 @@
     assert settings.bounds.retry_slack == 58.0
 
 
+def test_limits_on_clients_are_decoded():
+    """Guards against settings of clients that have no effect."""
+    assert decode_settings(SETTINGS).unwrap().clients == ClientLimits()
+    clients = {'connections-share': 0.5, 'pressure-share': 0.7}
+    settings = decode_settings({**SETTINGS, 'clients': clients}).unwrap()
+    assert settings.clients == ClientLimits(
+        connections_share=0.5, pressure_share=0.7
+    )
+
+
 @pytest.mark.parametrize(
     ('path', 'value'),
     [
+        ('clients', {'connections-share': 1.5}),
         ('node-name', 5),
         ('listen', {}),
         ('platform', {'address': 'nowhere'}),
--- a/tests/test_process_memory.py
+++ b/tests/test_process_memory.py
@@ -268,6 +268,28 @@
     assert process.memory.account.limit_bytes > 40 * MIB
 
 
+async def test_process_that_is_too_large_takes_no_bodies(caplog):
+    """Guards against memory that no holder has reserved."""
+    process = Process()
+    process.resident_bytes = 20 * MIB
+    process.skipped_s = BASE_INTERVAL_S
+    process.check()
+    account = process.memory.account
+    assert not account.excess_bytes
+    process.resident_bytes = 90 * MIB
+    process.skipped_s += BASE_INTERVAL_S
+    with caplog.at_level('INFO'):
+        process.check()
+        process.check()
+    assert account.excess_bytes == 10 * MIB
+    events = [record.getMessage() for record in caplog.records]
+    assert events == ['client_limit']
+    assert not process.memory.reserve_now(Holder(HolderKind.REQUESTS), MIB)
+    process.resident_bytes = 20 * MIB
+    process.check()
+    assert not account.excess_bytes
+
+
 async def test_answers_are_held_for_as_long_as_they_exist():
     """Guards against bytes that are never returned, and returned too early."""
     process = Process()
