Hold an answer that nobody reads once

Cause: an answer was held as its body, joined with its head, and as the copy that the stream makes of what the kernel has not taken; it counted once.

Now head and body are written with writev, without a copy, and the stream is given 2 KiB at a time only while the kernel takes nothing. A send that did not get through lets no later bytes overtake it.

--- a/copperyard/caller_connections.py
+++ b/copperyard/caller_connections.py
@@ -22,11 +22,9 @@
     encode_response_head,
     uses_chunked_coding,
 )
+from copperyard.clients.client_writer import DISCONNECT_ERRORS, ClientWriter
 from copperyard.fault_barriers import FaultBarrier, end_if_cancelled
-from copperyard.memory.connection_memory import (
-    WRITE_PART_BYTES,
-    ConnectionMemory,
-)
+from copperyard.memory.connection_memory import ConnectionMemory
 from copperyard.memory.memory_account import ConnectionUsage, HolderKind
 from copperyard.memory.process_memory import ProcessMemory
 from copperyard.metrics import Metrics
@@ -62,12 +60,6 @@
 _OVERLOADS: Final = frozenset(
     (RefusalReason.NO_MEMORY, RefusalReason.NO_CONNECTION)
 )
-_DISCONNECT_ERRORS: Final = (
-    anyio.EndOfStream,
-    anyio.BrokenResourceError,
-    anyio.ClosedResourceError,
-    OSError,
-)
 
 
 @dataclass(slots=True)
@@ -152,6 +144,7 @@
         self._receive_scope = anyio.CancelScope()
         # Time at which bytes were last received or a response was sent.
         self._last_active_at = callbacks.clock()
+        self._writer = ClientWriter(stream, self._record_progress)
 
     @property
     def is_idle(self) -> bool:
@@ -246,6 +239,9 @@
                 )
                 await self._read(group)
 
+    def _record_progress(self) -> None:
+        self._last_active_at = self._callbacks.clock()
+
     def _close_responses(self) -> None:
         for pending in self._pending_responses:
             if pending.response is not None and pending.response.stream:
@@ -298,7 +294,7 @@
         # The responses to earlier requests come first.
         if self._reader.wants_continue and not self._pending_responses:
             self._reader.wants_continue = False
-            await self._send(_CONTINUE_RESPONSE)
+            await self._writer.send(_CONTINUE_RESPONSE)
 
     async def _receive_bytes(self) -> bytes | None:
         """Receive bytes.
@@ -325,7 +321,7 @@
                 content = await self._stream.receive(READ_BUFFER_BYTES)
                 self._last_active_at = self._callbacks.clock()
                 return content
-        except _DISCONNECT_ERRORS:
+        except DISCONNECT_ERRORS:
             return None
         return b''
 
@@ -352,7 +348,7 @@
         try:
             while True:
                 await self._stream.receive(READ_BUFFER_BYTES)
-        except _DISCONNECT_ERRORS:
+        except DISCONNECT_ERRORS:
             group.cancel_scope.cancel()
 
     async def _start_requests(self, group: anyio.abc.TaskGroup) -> None:
@@ -458,7 +454,7 @@
         self._response_sent.set()
         try:
             await self._stream.send_eof()
-        except _DISCONNECT_ERRORS:
+        except DISCONNECT_ERRORS:
             return
         await anyio.sleep(LINGER_S)
 
@@ -488,25 +484,13 @@
             response, is_keep_alive=is_keep_alive, is_head=pending.is_head
         )
         body = b'' if pending.is_head else response.body
-        if not await self._send_whole(head, body):
+        if not await self._writer.send(head, body):
             return False
         self._memory.unsent_bytes -= len(response.body)
         if response.stream is not None and not pending.is_head:
             return await self._send_stream(response)
         return True
 
-    async def _send_whole(self, head: bytes, body: bytes) -> bool:
-        if len(body) <= WRITE_PART_BYTES:
-            return await self._send(head + body)
-        is_sent = await self._send(head)
-        for start in range(0, len(body), WRITE_PART_BYTES):
-            if not is_sent:
-                break
-            part = body[start : start + WRITE_PART_BYTES]
-            is_sent = await self._send(part)
-            self._last_active_at = self._callbacks.clock()
-        return is_sent
-
     async def _send_stream(self, response: CallerResponse) -> bool:
         stream = response.stream
         chunked = uses_chunked_coding(response)
@@ -518,25 +502,19 @@
                 part = await stream.read_part()
                 if isinstance(part, AttemptFailure):
                     return False
-                if not await self._send(_encode_part(part, chunked=chunked)):
+                if not await self._writer.send(
+                    *_encode_part(part, chunked=chunked)
+                ):
                     return False
-                self._last_active_at = self._callbacks.clock()
                 if not part:
                     return True
         return False
 
-    async def _send(self, content: bytes) -> bool:
-        try:
-            await self._stream.send(content)
-        except _DISCONNECT_ERRORS:
-            return False
-        return True
-
 
-def _encode_part(part: bytes, *, chunked: bool) -> bytes:
+def _encode_part(part: bytes, *, chunked: bool) -> tuple[bytes, ...]:
     if chunked:
-        return b'%x\r\n%b\r\n' % (len(part), part)
-    return part
+        return b'%x\r\n' % len(part), part, b'\r\n'
+    return (part,)
 
 
 def _find_caller_ip(stream: SocketStream) -> str:
--- a/copperyard/memory/connection_memory.py
+++ b/copperyard/memory/connection_memory.py
@@ -1,14 +1,8 @@
 """What one connection of a caller holds."""
 
-from typing import Final
-
 from copperyard.memory.memory_account import ConnectionUsage, Holder, HolderKind
 from copperyard.memory.process_memory import ProcessMemory
 
-# An answer is written in parts of this size, because the stream copies what
-# the kernel does not take at once.
-WRITE_PART_BYTES: Final = 64 * 1024
-
 
 class ConnectionMemory:
     """Requests and answers of one connection.
--- a/tests/test_process_memory.py
+++ b/tests/test_process_memory.py
@@ -2,8 +2,9 @@
 
 import asyncio
 import gc
+import socket
 import tracemalloc
-from contextlib import asynccontextmanager
+from contextlib import ExitStack, asynccontextmanager
 
 import anyio
 import pytest
@@ -24,6 +25,7 @@
 from copperyard.memory.memory_account import (
     ANSWER_PROGRESS_TIMEOUT_S,
     BODY_PROGRESS_TIMEOUT_S,
+    CONNECTION_COST_BYTES,
     LIMIT_MIN_BYTES,
     Holder,
     HolderKind,
@@ -50,6 +52,11 @@
 pytestmark = [pytest.mark.anyio, pytest.mark.timeout(30)]
 MIB = 1024 * 1024
 MEMORY_BYTES = 100 * MIB
+UNREADING_CLIENTS = 20
+UNREAD_ANSWER_BYTES = 60_000
+# A slow client: small windows and short segments.
+SLOW_BUFFER_BYTES = 2304
+SLOW_SEGMENT_BYTES = 536
 # With it, holders get the least limit.
 BASE_BYTES = MEMORY_BYTES
 LIMITS = RequestLimits(
@@ -71,6 +78,7 @@
             MEMORY_BYTES, self.metrics, self.clock, lambda: self.resident_bytes
         )
         self.connections = []
+        self.sockets = []
         self.requests = []
 
     def clock(self):
@@ -103,6 +111,9 @@
 
         async def run(stream):
             connection = CallerConnection(stream, callbacks)
+            self.sockets.append(
+                stream.extra(anyio.abc.SocketAttribute.raw_socket)
+            )
             self.connections.append(connection)
             await connection.run()
 
@@ -290,6 +301,45 @@
     assert not account.excess_bytes
 
 
+async def test_account_covers_connections_with_unread_answers():
+    """Guards against answers that are held more often than they count.
+
+    One was held as its body, joined with its head, and as the copy of what the
+    kernel had not taken.
+    """
+    process = Process()
+    sent = bytes(UNREAD_ANSWER_BYTES)
+
+    async def handle(request):
+        # The kernel takes little of an answer.
+        process.sockets[-1].setsockopt(
+            socket.SOL_SOCKET, socket.SO_SNDBUF, SLOW_BUFFER_BYTES
+        )
+        return CallerResponse(200, (), bytes(bytearray(sent)))
+
+    process.handle = handle
+    with ExitStack() as stack:
+        async with process.serve() as port:
+            tracemalloc.start()
+            stack.callback(tracemalloc.stop)
+            before, _ = tracemalloc.get_traced_memory()
+            for _ in range(UNREADING_CLIENTS):
+                client = stack.enter_context(socket.socket())
+                client.setsockopt(
+                    socket.SOL_SOCKET, socket.SO_RCVBUF, SLOW_BUFFER_BYTES
+                )
+                client.setsockopt(
+                    socket.IPPROTO_TCP, socket.TCP_MAXSEG, SLOW_SEGMENT_BYTES
+                )
+                client.connect(('127.0.0.1', port))
+                client.sendall(b'GET / HTTP/1.1\r\nHost: h\r\n\r\n')
+                await anyio.sleep(0.01)
+            await anyio.sleep(0.5)
+            after, _ = tracemalloc.get_traced_memory()
+            counted = UNREAD_ANSWER_BYTES + CONNECTION_COST_BYTES
+            assert after - before <= UNREADING_CLIENTS * counted
+
+
 async def test_answers_are_held_for_as_long_as_they_exist():
     """Guards against bytes that are never returned, and returned too early."""
     process = Process()
