Close connections whose clients read or send too slowly

Cause: nothing bounded the time of a response that is not read, and only idle connections and incomplete requests made room. For bodies, a timer began anew with each byte, so one byte now and then was progress.

Now a client owes the time for which the process waits for it, less a millisecond for each byte that it sends or takes. Behind by 15 s, or by the idle timeout if that is longer, a body is refused (408, it has not run) and a response is given up. Where a listener has 90% of its connections, clients that have not read for 8 s are closed first. The same debt tells stalled connections when memory is short.

In test_planned_stop a grace of the idle timeout alone (2 s there) refused a client that sends a byte each 0.1 s; hence the 15 s.

--- a/copperyard/caller_connections.py
+++ b/copperyard/caller_connections.py
@@ -10,6 +10,7 @@
 from collections.abc import Awaitable, Callable, Sequence
 from contextlib import ExitStack
 from dataclasses import dataclass, field
+from time import monotonic
 from typing import Final
 
 import anyio
@@ -23,6 +24,8 @@
     uses_chunked_coding,
 )
 from copperyard.clients.client_writer import DISCONNECT_ERRORS, ClientWriter
+from copperyard.clients.shared_limits import SharedLimits
+from copperyard.clients.transfer_debt import TransferDebt
 from copperyard.fault_barriers import FaultBarrier, end_if_cancelled
 from copperyard.memory.connection_memory import ConnectionMemory
 from copperyard.memory.memory_account import ConnectionUsage, HolderKind
@@ -100,6 +103,7 @@
         while it is being read, from its headers so far.
     :param memory: account of the bytes that the process holds.
     :param holder_kind: what the requests count as there.
+    :param clients: limits on clients.
     """
 
     handle: Handler
@@ -111,6 +115,7 @@
     build_refusal: RefusalBuilder = _build_refusal
     memory: ProcessMemory = field(default_factory=ProcessMemory)
     holder_kind: HolderKind = HolderKind.REQUESTS
+    clients: SharedLimits = field(default_factory=SharedLimits)
 
 
 class CallerConnection:
@@ -144,7 +149,14 @@
         self._receive_scope = anyio.CancelScope()
         # Time at which bytes were last received or a response was sent.
         self._last_active_at = callbacks.clock()
-        self._writer = ClientWriter(stream, self._record_progress)
+        self._writer = ClientWriter(
+            stream,
+            callbacks.clients,
+            self._find_grace_s,
+            self._record_progress,
+        )
+        # Of the body that is being received.
+        self._body_debt = TransferDebt(callbacks.clients.limits.min_bytes_per_s)
 
     @property
     def is_idle(self) -> bool:
@@ -185,8 +197,14 @@
         if pending and pending[0].response is None:
             # Answers behind this one cannot be read yet.
             return None
+        debt_s = self._writer.find_debt_s()
+        if not pending:
+            debt_s = self._body_debt.find_s(monotonic())
+        progressed_at = min(
+            self._last_active_at, self._callbacks.clock() - debt_s
+        )
         return self._memory.build_usage(
-            self._last_active_at, has_pending=bool(self._pending_responses)
+            progressed_at, has_pending=bool(pending)
         )
 
     def drop(self) -> None:
@@ -211,6 +229,13 @@
         """Return when it last received a byte or sent one."""
         return self._last_active_at
 
+    def find_unread_s(self) -> float:
+        """Return for how long the client has not read its response.
+
+        :returns: seconds; less if it reads, but slowly.
+        """
+        return self._writer.find_debt_s()
+
     def refuse_for_room(self) -> None:
         """Refuse the request that is being read, to close the connection."""
         self._refuse(RefusalReason.NO_CONNECTION)
@@ -300,8 +325,8 @@
         """Receive bytes.
 
         :returns: received bytes; empty if a request head is not complete in
-            time; ``None`` if the caller disconnects or the idle timeout
-            expires.
+            time, or the body arrives too slowly; ``None`` if the caller
+            disconnects or the idle timeout expires.
         """
         timeout_s = self._find_receive_timeout_s()
         while timeout_s > 0 and not (self.is_ending and self.is_idle):
@@ -311,15 +336,25 @@
             timeout_s = self._find_receive_timeout_s()
         if self.is_ending and self.is_idle:
             return await self._receive_within(LAST_READ_S) or None
-        return b'' if self._reader.is_in_head else None
+        if self._reader.is_in_body:
+            self._callbacks.clients.log.record(
+                'min-bytes-per-s', direction='request'
+            )
+        is_incomplete = self._reader.is_in_head or self._reader.is_in_body
+        return b'' if is_incomplete else None
 
     async def _receive_within(self, timeout_s: float) -> bytes | None:
         """Receive bytes; none if there are none in time."""
         self._receive_scope = anyio.move_on_after(timeout_s)
+        if self._reader.is_in_body:
+            self._body_debt.wait(monotonic())
+        else:
+            self._body_debt.forgive()
         try:
             with self._receive_scope:
                 content = await self._stream.receive(READ_BUFFER_BYTES)
-                self._last_active_at = self._callbacks.clock()
+                self._record_progress()
+                self._body_debt.record(len(content), monotonic())
                 return content
         except DISCONNECT_ERRORS:
             return None
@@ -334,14 +369,25 @@
         if self._reader.is_in_head:
             timeout_s = self._reader.limits.head_timeout_s
             return self._reader.head_started_at + timeout_s - now
+        timeout_s = self._last_active_at + self._find_idle_timeout_s() - now
         if self._pending_responses:
-            return IN_FLIGHT_POLL_S
+            timeout_s = IN_FLIGHT_POLL_S
+        if self._reader.is_in_body:
+            debt_s = self._body_debt.find_s(monotonic())
+            timeout_s = min(timeout_s, self._find_grace_s() - debt_s)
+        return timeout_s
+
+    def _find_idle_timeout_s(self) -> float:
         # The caller may not know yet that the timeout is shorter now.
-        timeout_s = max(
+        return max(
             self._reader.limits.idle_timeout_s,
             self._callbacks.find_limits().idle_timeout_s,
         )
-        return self._last_active_at + timeout_s - now
+
+    def _find_grace_s(self) -> float:
+        """Return how far the client may be behind the lowest rate."""
+        limits = self._callbacks.clients.limits
+        return max(limits.behind_s, self._find_idle_timeout_s())
 
     async def _wait_for_disconnect(self, group: anyio.abc.TaskGroup) -> None:
         # A disconnect of the caller cancels the requests that still run.
--- a/copperyard/clients/connection_table.py
+++ b/copperyard/clients/connection_table.py
@@ -1,21 +1,28 @@
 """The connections that others have opened, and how they make room."""
 
+import math
 from collections import defaultdict
 from collections.abc import Iterator
 from contextlib import contextmanager
 from typing import Final
 
+import anyio
+
 from copperyard.caller_connections import CallerConnection
-from copperyard.clients.client_limits import ClientLimits
 from copperyard.clients.connection_shares import (
     REFUSED_SHARE,
     ROOM_SHARE,
     ConnectionShares,
     ListenerKind,
 )
+from copperyard.clients.shared_limits import SharedLimits
 from copperyard.memory.process_memory import ProcessMemory
 from copperyard.metrics import Metrics
 
+# Interval between checks for responses that are not read; short compared with
+# the time that clients get.
+ROOM_INTERVAL_S: Final = 0.5
+
 _Connections = dict[CallerConnection, None]
 _find_progress_at: Final = CallerConnection.find_progress_at
 
@@ -23,7 +30,7 @@
 class ConnectionTable:
     """Connections by listener, bounded by descriptors and memory.
 
-    :param limits: share of the descriptors.
+    :param clients: share of the descriptors, and how long clients may take.
     :param max_descriptors: descriptors for all sockets of the process.
     :param memory: account of the bytes that the process holds.
     :param metrics: counters of the process.
@@ -31,12 +38,12 @@
 
     def __init__(
         self,
-        limits: ClientLimits,
+        clients: SharedLimits,
         max_descriptors: int,
         memory: ProcessMemory,
         metrics: Metrics,
     ) -> None:
-        self._limits = limits
+        self._clients = clients
         self._max_descriptors = max_descriptors
         self._memory = memory
         self._metrics = metrics
@@ -82,9 +89,22 @@
         finally:
             connections.pop(connection)
 
+    async def run(self) -> None:
+        """Make room where responses are not read, until cancelled.
+
+        A connection that waits for a client to read is not known to be stalled
+        before some time has passed, when no new connection may come.
+        """
+        while self._memory.is_limited:
+            await anyio.sleep(ROOM_INTERVAL_S)
+            for kind, connections in tuple(self._connections_by_kind.items()):
+                missing = len(connections) - ROOM_SHARE * self._find_max(kind)
+                if missing > 0:
+                    self._drop_unread(connections, math.ceil(missing))
+
     def _find_max(self, kind: ListenerKind) -> float:
         total_max = min(
-            self._limits.connections_share * self._max_descriptors,
+            self._clients.limits.connections_share * self._max_descriptors,
             self._memory.account.find_connections_max(),
         )
         counts_by_kind = {
@@ -106,7 +126,8 @@
         elif self._memory.is_limited:
             if len(connections) > REFUSED_SHARE * limit:
                 self._abort_refused(connections)
-            self._refuse_slowest(connections)
+            if not self._drop_unread(connections, 1):
+                self._refuse_slowest(connections)
 
     def _abort_refused(self, connections: _Connections) -> None:
         """Close one whose request was refused, although it may not know why."""
@@ -115,6 +136,23 @@
                 connection.abort()
                 return
 
+    def _drop_unread(self, connections: _Connections, count: int) -> bool:
+        """Close those whose clients have not read for longest, if long enough.
+
+        :returns: whether there was one.
+        """
+        unread = [
+            it
+            for it in connections
+            if it.find_unread_s() >= self._clients.limits.unread_s
+            and not it.is_dropped
+        ]
+        unread.sort(key=CallerConnection.find_unread_s, reverse=True)
+        for connection in unread[:count]:
+            connection.abort()
+            self._clients.log.record('unread-s', connections=len(connections))
+        return bool(unread)
+
     def _refuse_slowest(self, connections: _Connections) -> None:
         """Refuse the request that has made no progress for longest."""
         reading = [it for it in connections if it.is_reading_request]
--- a/copperyard/entry.py
+++ b/copperyard/entry.py
@@ -199,6 +199,7 @@
             'rollout_statuses': rollouts.run_statuses,
             'allowances': self._allowances.run,
             'close_expired': self._close_expired,
+            'client_connections': self._connections.run,
             'settings': self._settings_reloader.run,
         }
         if self.board.settings.is_spillover_enabled:
--- a/copperyard/entry_listeners.py
+++ b/copperyard/entry_listeners.py
@@ -14,6 +14,7 @@
 )
 from copperyard.clients.connection_shares import ListenerKind
 from copperyard.clients.connection_table import ConnectionTable
+from copperyard.clients.shared_limits import SharedLimits
 from copperyard.entry_api import EntryApi
 from copperyard.entry_board import EntryBoard
 from copperyard.listeners import (
@@ -40,8 +41,11 @@
     def __init__(self, board: EntryBoard, memory: ProcessMemory) -> None:
         self._board = board
         self._memory = memory
+        self._clients = SharedLimits.build(
+            board.settings.clients, board.metrics, board.clock
+        )
         self.connections = ConnectionTable(
-            board.settings.clients,
+            self._clients,
             board.settings.max_descriptors,
             memory,
             board.metrics,
@@ -80,6 +84,7 @@
                 api.record_refusal,
                 self._board.metrics,
                 memory=self._memory,
+                clients=self._clients,
             )
             if kind is ListenerKind.ENTRIES:
                 callbacks = replace(
--- a/copperyard/platform/settings.py
+++ b/copperyard/platform/settings.py
@@ -33,10 +33,14 @@
 _Descriptors = Annotated[int, msgspec.Meta(ge=1, le=_DESCRIPTORS_MAX)]
 _Bound = Annotated[float, msgspec.Meta(ge=0, le=_BOUND_MAX)]
 _Memory = Annotated[float, msgspec.Meta(gt=0, le=_BOUND_MAX)]
+_Positive = Annotated[float, msgspec.Meta(gt=0, le=_BOUND_MAX)]
 _Share = Annotated[float, msgspec.Meta(gt=0, lt=1)]
 _Window = Annotated[float, msgspec.Meta(ge=_WINDOW_MIN_S, le=_BOUND_MAX)]
 _CLIENT_FIELDS: Final[Mapping[str, Any]] = MappingProxyType(
     {
+        'min_bytes_per_s': _Positive,
+        'behind_s': _Positive,
+        'unread_s': _Positive,
         'connections_share': _Share,
         'pressure_share': _Share,
     }
--- a/tests/test_caller_connections.py
+++ b/tests/test_caller_connections.py
@@ -15,6 +15,8 @@
     ListenerCallbacks,
 )
 from copperyard.caller_responses import CallerResponse
+from copperyard.clients.client_limits import ClientLimits
+from copperyard.clients.shared_limits import SharedLimits
 from copperyard.clock import seconds_since_boot
 from copperyard.metrics import Metrics
 from copperyard.routes import RequestLimits
@@ -26,6 +28,8 @@
     head_timeout_s=0.2,
     idle_timeout_s=0.3,
 )
+# More than the kernel takes for a client that does not read.
+UNREAD_BYTES = 32 * 1024 * 1024
 GET = b'GET /%b HTTP/1.1\r\nHost: h\r\n\r\n'
 
 
@@ -74,8 +78,11 @@
 
 
 @asynccontextmanager
-async def running_server():
-    """Run a server in the background."""
+async def running_server(clients=None):
+    """Run a server in the background.
+
+    :param clients: limits on clients, the default ones if left out.
+    """
     server = RecordingServer()
     callbacks = ListenerCallbacks(
         lambda request: server.handle_request(request),
@@ -84,6 +91,7 @@
         seconds_since_boot,
         server.refusals.append,
         server.metrics,
+        clients=SharedLimits(clients or ClientLimits()),
     )
     listener = await anyio.create_tcp_listener(
         local_host='127.0.0.1',
@@ -514,6 +522,35 @@
     assert not server.refusals
 
 
+async def test_body_that_arrives_too_slowly_is_refused():
+    """Guards against clients that stay by one byte now and then."""
+    clients = ClientLimits(behind_s=0.3)
+    async with running_server(clients) as server:
+        head = b'POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 50\r\n\r\n'
+        content = await exchange(server, head, *[b'x'] * 12, pause_s=0.05)
+        assert content.startswith(b'HTTP/1.1 408 ')
+        assert not server.requests
+
+
+async def test_client_that_does_not_read_is_disconnected():
+    """Guards against connections that stay for as long as nobody reads."""
+    clients = ClientLimits(behind_s=0.3)
+    async with running_server(clients) as server:
+
+        async def handle(request):
+            return CallerResponse(200, (), bytes(UNREAD_BYTES))
+
+        server.handle_request = handle
+        reader, writer = await asyncio.open_connection(
+            '127.0.0.1', server.port, limit=1
+        )
+        writer.write(GET % b'')
+        await asyncio.sleep(1)
+        with pytest.raises((OSError, EOFError)):
+            await reader.readexactly(UNREAD_BYTES)
+        writer.close()
+
+
 class QueuedStream:
     """Stream with bytes that are received before anybody reads them."""
 
--- a/tests/test_client_limits.py
+++ b/tests/test_client_limits.py
@@ -1,4 +1,4 @@
-"""Limits on clients: shares of connections, and log lines."""
+"""Limits on clients: shares of connections, rates and log lines."""
 
 import pytest
 
@@ -9,10 +9,13 @@
     ListenerKind,
 )
 from copperyard.clients.limit_log import LINE_INTERVAL_S, LimitLog
+from copperyard.clients.transfer_debt import TransferDebt
 from copperyard.metrics import Metrics
 from tests.entry_builders import ManualClock
 
 CONNECTIONS = 1000
+RATE = 1000.0
+GRACE_S = 15.0
 
 
 @pytest.mark.parametrize('crowded', list(ListenerKind))
@@ -39,6 +42,61 @@
         )
 
 
+def find_end(parts, span_s=3600):
+    """Return when a client falls behind by the grace, if it does.
+
+    :param parts: time between two parts, and bytes of a part.
+    :param span_s: time to look at.
+    """
+    interval_s, size = parts
+    debt = TransferDebt(RATE)
+    now = 0.0
+    while now < span_s:
+        debt.wait(now)
+        now += interval_s
+        if debt.find_s(now) > GRACE_S:
+            return now
+        debt.record(size, now)
+    return None
+
+
+@pytest.mark.parametrize(
+    ('parts', 'is_ended'),
+    [
+        ((1.0, 1), True),
+        ((10.0, 100), True),
+        ((0.001, 0), True),
+        ((1.0, 1000), False),
+        ((14.0, 14_000), False),
+        ((0.01, 10), False),
+    ],
+)
+def test_rate_counts_and_not_the_last_byte(parts, is_ended):
+    """Guards against clients that stay by one byte now and then."""
+    ended_at = find_end(parts)
+    assert (ended_at is not None) == is_ended
+    if ended_at is not None:
+        assert ended_at <= 3 * GRACE_S
+
+
+def test_fast_start_is_no_credit_for_a_long_pause():
+    """Guards against bodies that arrive quickly and stop just short of it."""
+    debt = TransferDebt(RATE)
+    debt.wait(0.0)
+    debt.record(10_000_000, 1.0)
+    debt.wait(1.0)
+    assert debt.find_s(1.0 + GRACE_S) == GRACE_S
+
+
+def test_time_in_which_nobody_waits_for_the_client_is_not_its_debt():
+    """Guards against clients that pay for a process that does not read."""
+    debt = TransferDebt(RATE)
+    debt.wait(0.0)
+    debt.record(1, 1.0)
+    owed_s = debt.find_s(1.0)
+    assert debt.find_s(100.0) == owed_s
+
+
 def test_limit_is_counted_each_time_and_logged_at_a_bounded_rate(caplog):
     """Guards against a log line for each of many clients."""
     clock, metrics = ManualClock(), Metrics()
--- a/tests/test_platform_records.py
+++ b/tests/test_platform_records.py
@@ -382,11 +382,9 @@
 def test_limits_on_clients_are_decoded():
     """Guards against settings of clients that have no effect."""
     assert decode_settings(SETTINGS).unwrap().clients == ClientLimits()
-    clients = {'connections-share': 0.5, 'pressure-share': 0.7}
+    clients = {'min-bytes-per-s': 500, 'unread-s': 8}
     settings = decode_settings({**SETTINGS, 'clients': clients}).unwrap()
-    assert settings.clients == ClientLimits(
-        connections_share=0.5, pressure_share=0.7
-    )
+    assert settings.clients == ClientLimits(min_bytes_per_s=500, unread_s=8)
 
 
 @pytest.mark.parametrize(
