Parse costly bytes by turns

Cause: a call for each chunk, and 64 KB parsed by each connection in one turn of the event loop, whatever that took. An ordinary request needs many turns, each as long as all the parsing of the crowd.

Now received bytes are parsed in parts of 4 KiB. A connection with more than 32 elements in a part is costly for the rest of its life: its parts wait in a queue, and between two of them everything else that is ready runs. The delay of other requests does not grow with the number of such connections. Nothing is refused; elements are counted, not seconds, so it does not depend on the machine.

--- a/copperyard/caller_connections.py
+++ b/copperyard/caller_connections.py
@@ -39,6 +39,7 @@
     UnknownReason,
 )
 from copperyard.request_reader import (
+    PARSED_PART_BYTES,
     READ_BUFFER_BYTES,
     ReceivedRequest,
     RequestReader,
@@ -145,6 +146,8 @@
         self._response_enqueued = anyio.Event()
         self._response_sent = anyio.Event()
         self._is_reading = True
+        # Whether the bytes that it sent took long to parse.
+        self._is_costly = False
         self.is_ending = False
         self._receive_scope = anyio.CancelScope()
         # Time at which bytes were last received or a response was sent.
@@ -289,21 +292,45 @@
         self, content: bytes | None, group: anyio.abc.TaskGroup
     ) -> bool:
         """Parse received bytes and return whether the caller is connected."""
-        reader = self._reader
         if content is None:
             return False
-        if content:
-            reader.feed(content)
-        else:
-            reader.refusal = RefusalReason.TOO_SLOW
+        if not content:
+            self._reader.refusal = RefusalReason.TOO_SLOW
+            self._refuse_unreadable()
+        received = memoryview(content)
+        for start in range(0, len(received), PARSED_PART_BYTES):
+            if self._is_costly:
+                await self._callbacks.clients.turns.take()
+            if not self._is_reading:
+                break
+            part = received[start : start + PARSED_PART_BYTES]
+            await self._parse_part(part, group)
+        return True
+
+    async def _parse_part(
+        self, part: memoryview, group: anyio.abc.TaskGroup
+    ) -> None:
+        reader = self._reader
+        count_before = reader.event_count
+        reader.feed(part)
+        clients = self._callbacks.clients
+        events = reader.event_count - count_before
+        if events > clients.limits.parsed_events_max and not self._is_costly:
+            # For as long as the connection lasts, since it may send such bytes
+            # and others by turns.
+            self._is_costly = True
+            clients.log.record('parsed-events-max', events=events)
         if self._memory.take(reader.held_bytes):
             await self._start_requests(group)
         else:
             reader.refusal = RefusalReason.NO_MEMORY
-        if reader.refusal is not None and self._is_reading:
-            self._refuse(reader.refusal)
+        self._refuse_unreadable()
+
+    def _refuse_unreadable(self) -> None:
+        """Refuse the request that is being read if there is a reason to."""
+        if self._reader.refusal is not None and self._is_reading:
+            self._refuse(self._reader.refusal)
             self._is_reading = False
-        return True
 
     async def _reserve_memory(self) -> None:
         """Wait until there is memory for the next bytes, or refuse them."""
--- a/copperyard/clients/client_limits.py
+++ b/copperyard/clients/client_limits.py
@@ -17,6 +17,9 @@
         others open.
     :param pressure_share: share of the process's memory above which it takes
         no further bodies and drops connections.
+    :param parsed_events_max: elements, such as headers and chunks, in
+        ``PARSED_PART_BYTES``; a connection with more of them waits for its
+        turn to be parsed.
     """
 
     min_bytes_per_s: float = 1000.0
@@ -24,3 +27,4 @@
     unread_s: float = 8.0
     connections_share: float = 0.7
     pressure_share: float = 0.8
+    parsed_events_max: int = 32
--- a/copperyard/clients/shared_limits.py
+++ b/copperyard/clients/shared_limits.py
@@ -6,6 +6,7 @@
 
 from copperyard.clients.client_limits import ClientLimits
 from copperyard.clients.limit_log import LimitLog
+from copperyard.clients.parsing_turns import ParsingTurns
 from copperyard.clock import seconds_since_boot
 from copperyard.metrics import Metrics
 
@@ -20,10 +21,12 @@
 
     :param limits: the settings.
     :param log: counts and logs what meets them.
+    :param turns: turns of connections whose bytes are costly to parse.
     """
 
     limits: ClientLimits = ClientLimits()
     log: LimitLog = field(default_factory=_build_log)
+    turns: ParsingTurns = field(default_factory=ParsingTurns)
 
     @classmethod
     def build(
--- a/copperyard/platform/settings.py
+++ b/copperyard/platform/settings.py
@@ -35,6 +35,7 @@
 _Memory = Annotated[float, msgspec.Meta(gt=0, le=_BOUND_MAX)]
 _Positive = Annotated[float, msgspec.Meta(gt=0, le=_BOUND_MAX)]
 _Share = Annotated[float, msgspec.Meta(gt=0, lt=1)]
+_Count = Annotated[int, msgspec.Meta(ge=1, le=_BOUND_MAX)]
 _Window = Annotated[float, msgspec.Meta(ge=_WINDOW_MIN_S, le=_BOUND_MAX)]
 _CLIENT_FIELDS: Final[Mapping[str, Any]] = MappingProxyType(
     {
@@ -43,6 +44,7 @@
         'unread_s': _Positive,
         'connections_share': _Share,
         'pressure_share': _Share,
+        'parsed_events_max': _Count,
     }
 )
 
--- a/copperyard/request_reader.py
+++ b/copperyard/request_reader.py
@@ -14,6 +14,8 @@
 
 # Typical size of a socket's receive buffer.
 READ_BUFFER_BYTES: Final = 64 * 1024
+# Received bytes are parsed in parts of this size.
+PARSED_PART_BYTES: Final = 4 * 1024
 # Memory of a header beyond its bytes: two objects of bytes and their pair.
 HEADER_COST_BYTES: Final = 160
 # Memory of a request beyond its headers and body.
@@ -93,6 +95,8 @@
         self._trailer_bytes = 0
         self._body_bytes = 0
         self._complete_count = 0
+        # Elements that were parsed: targets, headers, parts of bodies, ends.
+        self.event_count = 0
         self._request: ReceivedRequest | None = None
 
     @property
@@ -133,7 +137,7 @@
         self._complete_bytes = 0
         self._clear_request()
 
-    def feed(self, content: bytes) -> None:
+    def feed(self, content: bytes | memoryview) -> None:
         """Parse received bytes and record the first reason to refuse them."""
         count_before = self._complete_count
         body_bytes_before = self._body_bytes
@@ -174,10 +178,12 @@
         self._trailer_bytes = 0
 
     def on_url(self, part: bytes) -> None:
+        self.event_count += 1
         self._target.append(part)
         self._count_head_bytes(len(part))
 
     def on_header(self, name: bytes, value: bytes) -> None:
+        self.event_count += 1
         self._headers.append((name.lower(), value.strip(b' \t')))
         self._head_cost_bytes += HEADER_COST_BYTES
         self._count_head_bytes(len(name) + len(value) + 4)
@@ -209,6 +215,7 @@
         )
 
     def on_body(self, part: bytes) -> None:
+        self.event_count += 1
         self._body_bytes += len(part)
         if self._body_bytes > self.limits.body_bytes:
             self._record_refusal(RefusalReason.BODY_TOO_LARGE)
@@ -218,6 +225,7 @@
     def on_message_complete(self) -> None:
         self.is_in_body = False
         self.wants_continue = False
+        self.event_count += 1
         self._complete_count += 1
         if self._request is not None and self.refusal is None:
             # Does not copy the bytes.
--- a/tests/test_client_limits.py
+++ b/tests/test_client_limits.py
@@ -1,5 +1,6 @@
-"""Limits on clients: shares of connections, rates and log lines."""
+"""Limits on clients: shares of connections, rates, turns and log lines."""
 
+import anyio
 import pytest
 
 from copperyard.clients.connection_shares import (
@@ -9,6 +10,7 @@
     ListenerKind,
 )
 from copperyard.clients.limit_log import LINE_INTERVAL_S, LimitLog
+from copperyard.clients.parsing_turns import ParsingTurns
 from copperyard.clients.transfer_debt import TransferDebt
 from copperyard.metrics import Metrics
 from tests.entry_builders import ManualClock
@@ -108,3 +110,30 @@
         log.record('unread-s')
     assert [record.fields['count'] for record in caplog.records] == [1, 3]
     assert metrics.counts_by_name['client.limited{limit="unread-s"}'] == 4
+
+
+@pytest.mark.anyio
+async def test_waiting_parts_do_not_delay_others_by_their_number():
+    """Guards against crowds that parse all their parts before others run."""
+    turns = ParsingTurns()
+    parsed = []
+    steps = 20
+
+    async def parse(number):
+        while True:
+            await turns.take()
+            parsed.append(number)
+
+    async with anyio.create_task_group() as group:
+        for number in range(200):
+            group.start_soon(parse, number)
+        await anyio.sleep(0.05)
+        count_before = len(parsed)
+        for _ in range(steps):
+            await anyio.lowlevel.checkpoint()
+        count = len(parsed) - count_before
+        await anyio.sleep(0.05)
+        group.cancel_scope.cancel()
+    assert count <= steps
+    # Each gets its turn.
+    assert len(set(parsed)) == 200
--- a/tests/test_platform_records.py
+++ b/tests/test_platform_records.py
@@ -382,9 +382,11 @@
 def test_limits_on_clients_are_decoded():
     """Guards against settings of clients that have no effect."""
     assert decode_settings(SETTINGS).unwrap().clients == ClientLimits()
-    clients = {'min-bytes-per-s': 500, 'unread-s': 8}
+    clients = {'min-bytes-per-s': 500, 'parsed-events-max': 8}
     settings = decode_settings({**SETTINGS, 'clients': clients}).unwrap()
-    assert settings.clients == ClientLimits(min_bytes_per_s=500, unread_s=8)
+    assert settings.clients == ClientLimits(
+        min_bytes_per_s=500, parsed_events_max=8
+    )
 
 
 @pytest.mark.parametrize(
