Count what running requests need

Cause: each connection runs 16 of its requests at once. Their bodies were in the account, their tasks, states and attempts at servers were not.

Now a running request counts 16 KiB more, and while less than an eighth of the limit is free, or the process is larger than it should be, a connection starts its next request after the response to the one before.

--- a/copperyard/caller_connections.py
+++ b/copperyard/caller_connections.py
@@ -426,10 +426,7 @@
 
     async def _start_requests(self, group: anyio.abc.TaskGroup) -> None:
         while self._reader.complete_requests and self._is_reading:
-            if (
-                len(self._pending_responses) >= PIPELINED_REQUESTS_MAX
-                or self._memory.is_over_unsent_max
-            ):
+            if self._has_to_wait():
                 self._response_sent = anyio.Event()
                 await self._response_sent.wait()
                 continue
@@ -442,6 +439,15 @@
             self._enqueue(pending)
             group.start_soon(end_if_cancelled, self._handle, request, pending)
 
+    def _has_to_wait(self) -> bool:
+        """Return whether the next request waits for an earlier response."""
+        pending_count = len(self._pending_responses)
+        return (
+            pending_count >= PIPELINED_REQUESTS_MAX
+            or self._memory.is_over_unsent_max
+            or (pending_count > 0 and not self._memory.is_spare)
+        )
+
     async def _handle(
         self, request: ReceivedRequest, pending: _PendingResponse
     ) -> None:
--- a/copperyard/memory/connection_memory.py
+++ b/copperyard/memory/connection_memory.py
@@ -1,6 +1,11 @@
 """What one connection of a caller holds."""
 
-from copperyard.memory.memory_account import ConnectionUsage, Holder, HolderKind
+from copperyard.memory.memory_account import (
+    RUNNING_COST_BYTES,
+    ConnectionUsage,
+    Holder,
+    HolderKind,
+)
 from copperyard.memory.process_memory import ProcessMemory
 
 
@@ -20,6 +25,7 @@
         self._holder = Holder(kind, caller_ip)
         # Of requests that have begun to run.
         self._running_bytes = 0
+        self._running_count = 0
         self.unsent_bytes = 0
 
     @property
@@ -33,6 +39,11 @@
         unsent_max = self._memory.account.find_unsent_max()
         return unsent_max is not None and self.unsent_bytes > unsent_max
 
+    @property
+    def is_spare(self) -> bool:
+        """Return whether several requests may run at once."""
+        return self._memory.account.is_spare()
+
     def take(self, received_bytes: int) -> bool:
         """Reserve what has been received.
 
@@ -65,6 +76,8 @@
         :param size: its bytes.
         """
         self._running_bytes += size
+        self._running_count += 1
+        self._memory.account.connection_bytes += RUNNING_COST_BYTES
 
     def finish(self, size: int) -> None:
         """Return the bytes of a request that has run.
@@ -72,6 +85,8 @@
         :param size: its bytes.
         """
         self._running_bytes -= size
+        self._running_count -= 1
+        self._memory.account.connection_bytes -= RUNNING_COST_BYTES
         if self._memory.is_limited:
             self._memory.release(
                 self._holder, min(size, self._holder.held_bytes)
@@ -86,6 +101,10 @@
     def close(self) -> None:
         """Return all bytes; the connection is closed."""
         self._memory.close(self._holder)
+        # Requests that were cancelled have not been finished.
+        costs_bytes = self._running_count * RUNNING_COST_BYTES
+        self._memory.account.connection_bytes -= costs_bytes
+        self._running_count = 0
 
     def record_refusal(self) -> None:
         """Record that a request is refused for lack of memory."""
--- a/copperyard/memory/memory_account.py
+++ b/copperyard/memory/memory_account.py
@@ -29,6 +29,9 @@
 # Memory of a connection beyond the bytes of its requests and answers: its
 # objects and tasks, its parser, and the bytes that wait to be written.
 CONNECTION_COST_BYTES: Final = 40 * 1024
+# Memory of a request that runs beyond its head and body: its task, its state,
+# and its attempt at a server.
+RUNNING_COST_BYTES: Final = 16 * 1024
 # Part of the limit that the costs of connections may take.
 CONNECTIONS_SHARE: Final = 0.5
 # Holders may have this much in any case, since an entry without it serves
@@ -155,8 +158,8 @@
 
     :param limit_bytes: what all holders and connections together may hold;
         ``None`` for no limit.
-    :ivar connection_bytes: what the connections take beyond what is held for
-        their requests and answers.
+    :ivar connection_bytes: what connections and running requests take beyond
+        the bytes that are held for them.
     :ivar excess_bytes: by how much the process is larger than it should be,
         as measured; only tiny holders get anything then.
     """
@@ -199,6 +202,16 @@
             return math.inf
         return CONNECTIONS_SHARE * self.limit_bytes / CONNECTION_COST_BYTES
 
+    def is_spare(self) -> bool:
+        """Return whether a connection may run several requests at once."""
+        if self.limit_bytes is None:
+            return True
+        free_bytes = self.limit_bytes - self.held_bytes - self.connection_bytes
+        return (
+            not self.excess_bytes
+            and free_bytes >= SMALL_SHARE * self.limit_bytes
+        )
+
     def find_unsent_max(self) -> int | None:
         """Return how many bytes of answers a connection may leave unsent.
 
--- a/tests/test_memory_account.py
+++ b/tests/test_memory_account.py
@@ -178,6 +178,17 @@
     assert costs <= LIMIT / 2
 
 
+def test_connections_run_one_request_each_while_little_is_free():
+    """Guards against pipelined requests that multiply what connections need."""
+    account = MemoryAccount(LIMIT)
+    assert account.is_spare()
+    account.connection_bytes = LIMIT
+    assert not account.is_spare()
+    account.connection_bytes = 0
+    account.excess_bytes = 1
+    assert not account.is_spare()
+
+
 def test_only_tiny_holders_fit_while_the_process_is_too_large():
     """Guards against what nobody counts: the process is measured, too."""
     account = MemoryAccount(LIMIT)
--- a/tests/test_uncontrolled_clients.py
+++ b/tests/test_uncontrolled_clients.py
@@ -75,6 +75,9 @@
 SLOW_BUFFER_BYTES = 2304
 SLOW_SEGMENT_BYTES = 536
 UNREADING_INTERVAL_S = 0.005
+PIPELINING_CLIENTS = 400
+PIPELINED_BODIES = 30
+PIPELINED_BODY_BYTES = 3000
 CHUNKING_CLIENTS = 200
 CHUNKS_PER_WRITE = 8192
 CHUNKING_PAUSE_S = 0.1
@@ -363,6 +366,14 @@
     yield bytes(STALLED_BODY_BYTES - MISSING_BYTES)
 
 
+def list_pipelined_bodies(number):
+    """Return many requests with small bodies."""
+    length = b'Content-Length: %d' % PIPELINED_BODY_BYTES
+    for _ in range(PIPELINED_BODIES):
+        yield encode_head(b'POST', b'/write/x', length)
+        yield bytes(PIPELINED_BODY_BYTES)
+
+
 async def run_unreading_crowd(connections, count, request_count):
     """Let slow clients send pipelined requests whose answers they don't read.
 
@@ -506,6 +517,18 @@
         )
 
 
+async def test_many_pipelined_requests(tmp_path):
+    """Guards against memory that running requests need beyond their bodies."""
+    async with running_entry(
+        tmp_path,
+        memory_mb=CONNECTIONS_MEMORY_MB,
+        descriptors=CONNECTIONS_DESCRIPTORS_MAX,
+    ) as connections:
+        await run_crowd(
+            connections, PIPELINING_CLIENTS, CALLER_PORT, list_pipelined_bodies
+        )
+
+
 async def test_unread_answers_leave_descriptors_to_others(tmp_path):
     """Guards against connections that stay for as long as nobody reads.
 
