--- a/copperyard/caller_connections.py
+++ b/copperyard/caller_connections.py
@@ -445,7 +445,7 @@
         return (
             pending_count >= PIPELINED_REQUESTS_MAX
             or self._memory.is_over_unsent_max
-            or (pending_count > 0 and not self._memory.is_spare)
+            or (pending_count > 0 and not self._memory.may_pipeline)
         )
 
     async def _handle(
--- a/copperyard/memory/connection_memory.py
+++ b/copperyard/memory/connection_memory.py
@@ -40,9 +40,9 @@
         return unsent_max is not None and self.unsent_bytes > unsent_max
 
     @property
-    def is_spare(self) -> bool:
+    def may_pipeline(self) -> bool:
         """Return whether several requests may run at once."""
-        return self._memory.account.is_spare()
+        return self._memory.account.may_pipeline()
 
     def take(self, received_bytes: int) -> bool:
         """Reserve what has been received.
@@ -77,7 +77,7 @@
         """
         self._running_bytes += size
         self._running_count += 1
-        self._memory.account.connection_bytes += RUNNING_COST_BYTES
+        self._memory.account.overhead_bytes += RUNNING_COST_BYTES
 
     def finish(self, size: int) -> None:
         """Return the bytes of a request that has run.
@@ -86,7 +86,7 @@
         """
         self._running_bytes -= size
         self._running_count -= 1
-        self._memory.account.connection_bytes -= RUNNING_COST_BYTES
+        self._memory.account.overhead_bytes -= RUNNING_COST_BYTES
         if self._memory.is_limited:
             self._memory.release(
                 self._holder, min(size, self._holder.held_bytes)
@@ -103,7 +103,7 @@
         self._memory.close(self._holder)
         # Requests that were cancelled have not been finished.
         costs_bytes = self._running_count * RUNNING_COST_BYTES
-        self._memory.account.connection_bytes -= costs_bytes
+        self._memory.account.overhead_bytes -= costs_bytes
         self._running_count = 0
 
     def record_refusal(self) -> None:
--- a/copperyard/memory/memory_account.py
+++ b/copperyard/memory/memory_account.py
@@ -158,7 +158,7 @@
 
     :param limit_bytes: what all holders and connections together may hold;
         ``None`` for no limit.
-    :ivar connection_bytes: what connections and running requests take beyond
+    :ivar overhead_bytes: what connections and running requests take beyond
         the bytes that are held for them.
     :ivar excess_bytes: by how much the process is larger than it should be,
         as measured; only tiny holders get anything then.
@@ -167,7 +167,7 @@
     def __init__(self, limit_bytes: int | None) -> None:
         self.limit_bytes = limit_bytes
         self.held_bytes = 0
-        self.connection_bytes = 0
+        self.overhead_bytes = 0
         self.excess_bytes = 0
         self.held_by_kind: Counter[HolderKind] = Counter()
         self._held_by_caller: Counter[str] = Counter()
@@ -202,11 +202,11 @@
             return math.inf
         return CONNECTIONS_SHARE * self.limit_bytes / CONNECTION_COST_BYTES
 
-    def is_spare(self) -> bool:
+    def may_pipeline(self) -> bool:
         """Return whether a connection may run several requests at once."""
         if self.limit_bytes is None:
             return True
-        free_bytes = self.limit_bytes - self.held_bytes - self.connection_bytes
+        free_bytes = self.limit_bytes - self.held_bytes - self.overhead_bytes
         return (
             not self.excess_bytes
             and free_bytes >= SMALL_SHARE * self.limit_bytes
@@ -219,7 +219,7 @@
         """
         if self.limit_bytes is None:
             return None
-        free_bytes = self.limit_bytes - self.held_bytes - self.connection_bytes
+        free_bytes = self.limit_bytes - self.held_bytes - self.overhead_bytes
         return max(SMALL_BYTES, int(UNSENT_SHARE * free_bytes))
 
     def try_reserve(self, holder: Holder, amount: int) -> bool:
@@ -321,7 +321,7 @@
         return refused
 
     def _fits(self, holder: Holder, amount: int, limit_bytes: int) -> bool:
-        taken_bytes = self.held_bytes + self.connection_bytes
+        taken_bytes = self.held_bytes + self.overhead_bytes
         free_bytes = limit_bytes - taken_bytes - amount
         total = holder.held_bytes + amount
         if self.excess_bytes and total > TINY_BYTES:
--- a/copperyard/memory/process_memory.py
+++ b/copperyard/memory/process_memory.py
@@ -172,7 +172,7 @@
         :returns: what it counts, for ``close_connection``.
         """
         cost_bytes = CONNECTION_COST_BYTES + min(SMALL_BYTES, read_bytes or 0)
-        self.account.connection_bytes += cost_bytes
+        self.account.overhead_bytes += cost_bytes
         return cost_bytes
 
     def close_connection(self, cost_bytes: int) -> None:
@@ -180,7 +180,7 @@
 
         :param cost_bytes: what ``open_connection`` returned.
         """
-        self.account.connection_bytes -= cost_bytes
+        self.account.overhead_bytes -= cost_bytes
 
     def find_receive_buffer(self, connection_count: int) -> int | None:
         """Return the size of the receive buffer of a further connection.
@@ -240,7 +240,7 @@
             )
         for name, size in (
             ('memory.limit_bytes', self.account.limit_bytes or 0),
-            ('memory.connection_bytes', self.account.connection_bytes),
+            ('memory.overhead_bytes', self.account.overhead_bytes),
             ('memory.excess_bytes', self.account.excess_bytes),
         ):
             self._metrics.gauge(name, size)
@@ -272,7 +272,7 @@
         account = self.account
         if self._memory_bytes is None or account.limit_bytes is None:
             return
-        taken_bytes = account.held_bytes + account.connection_bytes
+        taken_bytes = account.held_bytes + account.overhead_bytes
         is_watched = taken_bytes > _WATCHED_SHARE * account.limit_bytes
         is_due = now - self._measured_at >= BASE_INTERVAL_S
         if not (is_watched or account.excess_bytes or is_due):
@@ -311,7 +311,7 @@
             trim_heap()
             resident_bytes = self._trimmed_bytes = self._read_resident()
         self._base_bytes = (
-            resident_bytes - account.held_bytes - account.connection_bytes
+            resident_bytes - account.held_bytes - account.overhead_bytes
         )
         account.limit_bytes = compute_limit(
             self._memory_bytes, self._base_bytes
@@ -320,7 +320,7 @@
     def _describe(self) -> dict[str, int]:
         return {
             'held_bytes': self.account.held_bytes,
-            'connection_bytes': self.account.connection_bytes,
+            'overhead_bytes': self.account.overhead_bytes,
             'limit_bytes': self.account.limit_bytes or 0,
             'waiting': self.account.waiting_count,
         }
--- a/tests/test_memory_account.py
+++ b/tests/test_memory_account.py
@@ -170,7 +170,7 @@
 def test_costs_of_connections_reduce_what_is_free():
     """Guards against connections that take memory beside the account."""
     account = MemoryAccount(LIMIT)
-    account.connection_bytes = LIMIT // 2
+    account.overhead_bytes = LIMIT // 2
     assert not account.try_reserve(build_holder(), LIMIT // 2 + 1)
     assert account.find_unsent_max() <= LIMIT / 16
     assert account.try_reserve(build_holder(), LIMIT // 4)
@@ -181,12 +181,12 @@
 def test_connections_run_one_request_each_while_little_is_free():
     """Guards against pipelined requests that multiply what connections need."""
     account = MemoryAccount(LIMIT)
-    assert account.is_spare()
-    account.connection_bytes = LIMIT
-    assert not account.is_spare()
-    account.connection_bytes = 0
+    assert account.may_pipeline()
+    account.overhead_bytes = LIMIT
+    assert not account.may_pipeline()
+    account.overhead_bytes = 0
     account.excess_bytes = 1
-    assert not account.is_spare()
+    assert not account.may_pipeline()
 
 
 def test_only_tiny_holders_fit_while_the_process_is_too_large():
