Finalize the garbage of a test module before the next one

Cause: a stream writer that an earlier test had left was finalized by a collection of garbage inside ast.parse, and raised, as its event loop was closed. CPython 3.11 formats the traceback with another ast.parse, which breaks the outer one. Shown by a script with 200 collections inside ast.parse: 200 of 200 fail where a finalizer raises and its traceback is formatted, none where it is not.

Garbage is now collected at the end of each module. No test is changed.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,5 +1,7 @@
 """Shared fixtures, and deselection of the tests listed in KNOWN-RED.txt."""
 
+import gc
+from collections.abc import Iterator
 from pathlib import Path
 
 import pytest
@@ -13,6 +15,18 @@
     return 'asyncio'
 
 
+@pytest.fixture(autouse=True, scope='module')
+def finalized_garbage() -> Iterator[None]:
+    """Finalize what the tests of a module leave before those of the next one.
+
+    A stream writer whose event loop is closed raises an exception when it is
+    finalized. CPython 3.11 fails with a ``SystemError`` if this happens inside
+    ``ast.parse``, as in any later test that reads source code.
+    """
+    yield
+    gc.collect()
+
+
 def _read_known_failures() -> list[str]:
     if not _KNOWN_FAILURES_FILE.exists():
         return []
