--- a/tests/test_process_memory.py
+++ b/tests/test_process_memory.py
@@ -301,6 +301,28 @@
     assert not account.excess_bytes
 
 
+async def test_answer_that_has_just_arrived_is_tried_before_it_is_dropped():
+    """Guards against answers that are cut because their request took long.
+
+    Memory is checked in the turn between their arrival and their first write.
+    """
+    process = Process()
+
+    async def handle(request):
+        await anyio.sleep(0.1)
+        process.skipped_s += 2 * ANSWER_PROGRESS_TIMEOUT_S
+        process.memory.account.deny(process.clock())
+        asyncio.get_running_loop().call_soon(process.check)
+        return CallerResponse(200, (), bytes(MIB))
+
+    process.handle = handle
+    async with process.serve() as port:
+        reader, writer = await asyncio.open_connection('127.0.0.1', port)
+        writer.write(b'GET / HTTP/1.1\r\nHost: h\r\n\r\n')
+        assert b' 200 ' in await reader.readline()
+        writer.close()
+
+
 async def test_account_covers_connections_with_unread_answers():
     """Guards against answers that are held more often than they count.
 
